Discovery: keep the version after a failed call, back off with jitter

No ingress learnt of any of the backends released; by 22 s a third of all attempts went to backends that were gone (connect_failed) or draining (full). Ruled out: a fault of the agent (a fleet that asks less is served within 2 s of queueing) and too short a memory of addresses. To blame: net/discovery.py, `self.version = None` after any failure, the fixed PAUSES, a time-out shorter than the 2 s that a call may wait its turn, and net/ingress.py starting each watch from a whole list though one is in the configuration. Now: a call turned away or unanswered keeps the version; pauses double with full jitter, longer where discovery turns calls away than where the agent is silent, as the second costs nobody; a start brings the restored list up to date by its version.

--- a/mulleinhall/net/discovery.py
+++ b/mulleinhall/net/discovery.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import logging
+import random
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
@@ -18,9 +19,12 @@
 # Guards against a connection to the agent that fell silent: meanwhile backends leave and come, and nothing
 # tells of it.  What is new comes at once, so a short wait costs no more than a small call now and then.
 WAIT_MS = 1_000  # of a watch
-GRACE = 0.5  # s: an agent answers at once, or once the wait is over
-ASK_TIMEOUT = 1.0  # s for a call that doesn't wait
-PAUSES = (0.05, 0.1, 0.2, 0.5, 1.0)  # s between tries while the agent is gone
+GRACE = 2.5  # s: an agent answers at once, or once the wait is over; a call that waits its turn may take 2 s
+ASK_TIMEOUT = 3.0  # s for a call that does not wait, its turn included
+FIRST_PAUSE = 0.1  # s, at most, before the first try after a failure; each further failure doubles it
+MOST_PAUSE = 1.0  # s, at most, while the agent is silent: to ask it costs nobody else
+FIRST_CROWDED = 0.8  # s: the same where discovery turns calls away; each one costs the others a turn
+MOST_CROWDED = 12.8  # s: some forty ingresses then bring no more calls than it can take meanwhile
 
 
 @dataclass(frozen=True, slots=True)
@@ -65,13 +69,29 @@
     return Listing(version, bool(body.get("full")), tuple(backends), addresses)
 
 
+def pause(failures: int, crowded: bool, rng: random.Random) -> float:
+    """Exponential backoff with full jitter.  Guards discovery against all ingresses at once: with equal
+    pauses they come again together, and a service that is overbooked never gets free."""
+    first, most = (FIRST_CROWDED, MOST_CROWDED) if crowded else (FIRST_PAUSE, MOST_PAUSE)
+    return rng.uniform(0.0, min(most, first * 2.0 ** min(failures, 32)))
+
+
+class Unavailable(Exception):
+    """Discovery gave no answer; the list that is held is as good as before."""
+
+
+class Crowded(Unavailable):
+    """Discovery turned the call away."""
+
+
 class Discovery:
     """Follows the agent for as long as `run` runs; each change goes to `told`."""
 
-    def __init__(self, address: tuple[str, int], told: Callable[[ListKind, Listing], None]) -> None:
+    def __init__(self, address: tuple[str, int], told: Callable[[ListKind, Listing], None],
+                 rng: random.Random, version: int | None = None) -> None:
         self.url = f"http://{address[0]}:{address[1]}/api/targets"
-        self.told = told
-        self.version: int | None = None  # of the list that the agent gave; None: ask for all of it
+        self.told, self.rng = told, rng
+        self.version = version  # of the list that is held here; None: ask for all of it
 
     async def run(self) -> None:
         failures = 0
@@ -83,22 +103,27 @@
                     failures = 0
                 except Exception as error:
                     # Guards against an agent that is silent, gone or speaks nonsense, and against a fault in
-                    # what is done with a list: the last one is kept, tries are spaced, and the next asks for
-                    # the whole list.
+                    # what is done with a list: the last one is kept and tries are spaced.  The whole list,
+                    # which costs discovery most, is asked for only where the one held here is in doubt.
                     if failures in (0, 10, 100, 1000):
                         log.warning("discovery: %s: %s", type(error).__name__, error)
-                    self.version = None
-                    await asyncio.sleep(PAUSES[min(failures, len(PAUSES) - 1)])
+                    if not isinstance(error, Unavailable):
+                        self.version = None
+                    await asyncio.sleep(pause(failures, isinstance(error, Crowded), self.rng))
                     failures += 1
 
     async def _ask(self, session: aiohttp.ClientSession) -> None:
         query, limit = "", ASK_TIMEOUT
         if self.version is not None:
             query, limit = f"?after={self.version}&wait_ms={WAIT_MS}", WAIT_MS / 1000 + GRACE
-        async with session.get(self.url + query, timeout=aiohttp.ClientTimeout(total=limit)) as answer:
-            if answer.status != 200:
-                raise ValueError(f"status {answer.status}")
-            listing = read_listing(json.loads(await answer.read()))
+        try:
+            async with session.get(self.url + query, timeout=aiohttp.ClientTimeout(total=limit)) as answer:
+                if answer.status != 200:
+                    raise Crowded(f"status {answer.status}")
+                body = await answer.read()
+        except (aiohttp.ClientError, OSError, TimeoutError) as error:
+            raise Unavailable(f"{type(error).__name__}: {error}") from None
+        listing = read_listing(json.loads(body))
         if not listing.full and (self.version is None or listing.version < self.version):
             # Guards against an agent that began anew: its changes don't apply to the list held here.
             raise ValueError(f"changes of version {listing.version} for version {self.version}")
--- a/mulleinhall/net/ingress.py
+++ b/mulleinhall/net/ingress.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import logging
+import random
 from collections import deque
 from dataclasses import replace
 from math import ceil
@@ -51,6 +52,7 @@
         self.config, self.settings, self.clock = config, config.settings, clock or unix_clock()
         self.loop = asyncio.get_running_loop()
         self.gateway = Gateway(self.settings, config.seed)
+        self.rng = random.Random(config.seed)  # for the network's own pauses
         self.open: dict[str, Open] = {}
         self.ids: set[bytes] = set()  # the clients' own, of requests that have no answer yet
         self.attempts: dict[tuple[str, int], Attempt] = {}  # those that are out
@@ -70,7 +72,9 @@
         """Serves until `stop` is set, then lets the clients go and ends."""
         self.listed(api.ListKind.RESTORED, self.config.known)
         self.clients.open()
-        self._watch()
+        # What is held is asked to be brought up to date: a whole list for each of many that start together
+        # is what discovery can least bear.
+        self._watch(self.config.known.version if self.config.known.backends else None)
         log.info("%s serves on %s:%d", self.config.name, *self.config.listen)
         await stop.wait()
         await self._drain()
@@ -82,11 +86,12 @@
         if self.counter is not None:
             self.counter.close()
 
-    def _watch(self) -> None:
-        """A new watch on discovery, from a whole list; the old one ends."""
+    def _watch(self, version: int | None = None) -> None:
+        """A new watch on discovery, from a whole list unless a version of it is held; the old one ends."""
         if self.watch is not None:
             self.watch.cancel()
-        self.watch = self.loop.create_task(Discovery(self.config.discovery, self.listed).run())
+        discovery = Discovery(self.config.discovery, self.listed, self.rng, version)
+        self.watch = self.loop.create_task(discovery.run())
 
     def reload(self, config: Config) -> None:
         """The configuration was replaced: discovery and counter may be elsewhere.  What is not told here
