Admission: give refused units back, lend ceilings by the count, start slices full

To blame: logic.py, Customer.__init__, _uncount, _ask and the corrections in _counted. Now: refused units go back at once; all counts are kept inside their ends; a debt is written off once it has lasted; what is short of a ceiling's slice asks, and is lent from the whole as told just now; slices start full; questions follow failures, not distance.

--- a/mulleinhall/logic.py
+++ b/mulleinhall/logic.py
@@ -19,10 +19,13 @@
 LOW = 0.5  # of the slice: below this a gateway tells others of its use
 FRESH = 0.5  # of the time a burst takes to fill: how long evidence of others' use is believed
 PEER_PERIOD = 0.25  # s between two messages to peers; short beside any burst, long beside any request
-EXACT = 0.1  # bursts that a count may pass its ends by before it is put right; more where it is crowded
-ASK_LESS = 0.3  # of the questions: fewer after one that failed; a quick answer brings an eighth of it back
+EXACT, INEXACT = 0.1, 0.25  # bursts that a count may pass its ends by; the second where it is crowded
+LEAST_TOLD = 0.125  # bursts of use that the counter is told without a question: less can wait for one
+KEPT = 0.5  # of what a used up quota leaves of a ceiling: lent at once; some is sent beyond quotas
+LASTS = 10.0  # time-outs that a count has stood in debt before the debt is written off
+ASK_LESS, ASK_MORE = 0.2, 0.02  # of the questions: fewer after one that failed, more after a quick answer
 LEAST_ASKED = 0.05  # of what would be asked: goes to a counter that fails, to see it come back
-QUICK = 0.25  # of the time-out: a counter that answers sooner can take more
+QUICK = 0.6  # of the time-out: a counter that answers sooner can take more; the way there may take half
 IDLE = 60.0  # s: a customer unseen this long is dropped if its buckets are full
 SMOOTH = 0.15  # weight of a new sample in a running mean: about the last dozen count
 BUSY = 0.18  # of the aim: a backend whose answers take longer on the mean holds too much
@@ -105,19 +108,23 @@
         self.key, spread, self.first = event.customer, event.spread, event.first
         self.plan, self.spread, self.hash, self.seen = plan, max(1, spread), crc32(self.key.encode()), now
         share, burst = plan.rate / self.spread, plan.burst / self.spread
-        # Danger: each restart hands out a full burst anew.  Where more can be learned, a young process
-        # starts the slice with what it has filled since.
-        start = min(burst, share * age) if can_learn else burst
         # A slice under the largest request holds none: it is asked about first, and what cannot be asked
         # is sent where that pays on the mean.
         self.thin = can_learn and plan.rate > 0 and plan.burst < self.spread * most
-        self.slice = Bucket(share, burst, start, now)
+        self.slice = Bucket(share, burst, burst, now)
+        # Danger: a fresh process must not hand out a ceiling anew.  But what keeps the quota leaves the rest.
+        self.kept = KEPT * max(0.0, plan.ceiling_burst - plan.burst)
+        filled = min(plan.ceiling_burst, self.kept + plan.ceiling_rate * age)
         self.ceiling = Bucket(plan.ceiling_rate / self.spread, plan.ceiling_burst / self.spread,
-                              min(plan.ceiling_burst, plan.ceiling_rate * age) / self.spread, now)
+                              filled / self.spread, now)
+        # The whole ceiling as the counter lets it be seen: no more than has filled since this process began.
+        self.whole = Bucket(plan.ceiling_rate, plan.ceiling_burst, filled, now)
         self.open, self.open_limit = 0, max(1, int(plan.open_limit / self.spread))
         self.elsewhere = Elsewhere(plan, now, self.thin)
         self.unreported, self.used = 0.0, 0.0
         self.name, self.name_start, self.mine, self.others = -1, now, 0.0, 0.0
+        self.owes_since = now  # since when the count has stood in debt whenever it was told
+        self.whole_name = -1  # the count that the whole ceiling follows
         self.asked_at = -1e18  # when the counter call that is out was made
         self.held: list[Job] = []
 
@@ -144,18 +151,48 @@
     def slice_fits(self, now: float, units: float) -> bool:
         return self.slice.fits(now, units, max(self.slice.cap, units))
 
-    def take(self, now: float, units: float, counted: bool) -> None:
+    def take(self, now: float, units: float, told: bool) -> None:
         """Units are spent; what a slice lends out from elsewhere leaves it empty, not in debt."""
         self.elsewhere.take(now, units)
         self.slice.level = max(0.0, self.slice.level - units)
-        self.unreported += 0.0 if counted or self.thin else units
+        self.unreported += 0.0 if told else units
         self.used += units
 
+    def under_ceiling(self, now: float, units: float) -> bool:
+        """Whether the slice of the ceiling holds the units, or the whole does by word that just came.
+
+        Danger: others send what their quota's slice holds before they tell of it; that much stays unlent.
+        """
+        if self.ceiling.fits(now, units):
+            return True
+        untold = (self.spread - 1) * LEAST_TOLD * self.plan.burst - self.plan.ceiling_slack / 2
+        return self.elsewhere.told_at == now and self.whole.fits(now, units + max(0.0, untold))
+
+    def take_ceiling(self, units: float) -> None:
+        """What is lent from the whole leaves the slice empty, not in debt."""
+        self.whole.take(units)
+        self.ceiling.level = max(0.0, self.ceiling.level - units)
+
+    def told_ceiling(self, now: float, born: float, others: float, used: float, lost: bool) -> None:
+        """The others' share of the count is `others` by now, and `used` was sent on from here in its time.
+
+        Danger: a count may have been lost, or be new, so it proves nothing of the time before it began: by
+        then the store is thought to hold what is left by a used up quota.
+        """
+        self.whole.fits(now, 0.0)
+        if self.whole_name == self.name and not lost:
+            self.whole.level -= max(0.0, others - self.others)
+            return
+        since = now if lost else max(self.name_start, born)
+        level = min(self.whole.cap, self.kept + self.whole.rate * (now - since)) - max(0.0, others) - used
+        self.whole.level = max(0.0, level) if self.whole_name < 0 else level
+        self.whole_name = self.name
+
     def settle(self, units: float) -> None:
         """The answer told the true units: the difference is taken or given back."""
         self.elsewhere.own += units
         self.slice.level = min(max(self.slice.cap, self.slice.level), self.slice.level - units)
-        self.unreported += 0.0 if self.thin else units
+        self.unreported += units
         self.used += units
 
 
@@ -168,7 +205,8 @@
         self.deadline = now + event.time_left
         self.inside = False  # its units were taken from the slice
         self.taken = False  # its first attempt was sent
-        self.counted = False  # its units are in the customer's unreported use already
+        self.counted = 0.0  # units that a call to the counter has added for it
+        self.stood_for = False  # others' questions tell the counter of it as well
         self.over = False
         self.late = False  # it cannot be answered within its aim any more
         self.tries: list[tuple[Server, float]] = []  # backend and time of each attempt, in order
@@ -507,10 +545,10 @@
         elif abs(event.time_left - self.first_wait.get(cls.name, 0.0)) > self.settings.tick:
             job.late = cls.deadline - event.time_left + self.fleet.mean(cls) > cls.aim
         hopeless = job.late and not cls.late_worth
-        if hopeless or (plan.ceiling_rate and not customer.ceiling.fits(now, job.units)):
+        if hopeless:
             self._finish(now, job)
         elif plan.rate and self._may_lend(now, job) and self._ask(now, customer, job):
-            customer.held.append(job)
+            customer.held.append(job)  # also behind a call that is out: its answer serves both
         else:
             self._decide(now, job)
 
@@ -518,12 +556,17 @@
         """Whether to ask the counter: the slice is low, as others may have been lent what it holds, and what
         is known does not rule out that there is enough by now."""
         known = job.customer.elsewhere
-        if job.customer.slice_fits(now, job.units + LOW * job.customer.slice.cap) or job.late:
+        customer, short = job.customer, self._short(now, job)
+        if (not short and customer.slice_fits(now, job.units + LOW * customer.slice.cap)) or job.late:
             return False
         again = job.units / job.plan.rate if self.ask_share >= 1 else known.life  # s: later in a crowd
         hope = now - known.told_at > again or known.level(now) >= job.units
         return hope and job.deadline - now > 4 * self.settings.counter_timeout
 
+    def _short(self, now: float, job: Job) -> bool:
+        """Whether the slice of its ceiling is too low for it."""
+        return job.plan.ceiling_rate > 0 and not job.customer.ceiling.fits(now, job.units)
+
     def _pays(self, plan: api.Plan) -> bool:
         """Whether a request of which nothing is known pays on the mean."""
         return self.odds[plan.name] > plan.over_cost / (1 + plan.over_cost)
@@ -555,7 +598,7 @@
             inside = False
         pressure, job.inside = self.fleet.pressure(now), inside
         pays = inside or (plan.over_worth > plan.over_cost and pressure < -0.1)
-        if plan.ceiling_rate and not customer.ceiling.fits(now, job.units):
+        if plan.ceiling_rate and not customer.under_ceiling(now, job.units):
             pays = False
         rank = self.fleet.rank(job)
         if not pays or pressure > rank or not self._send(now, job):
@@ -569,11 +612,11 @@
             job.taken = True
             self.retries.level = min(self.retries.cap, self.retries.level + RETRY_SHARE)
             if job.plan.ceiling_rate:
-                job.customer.ceiling.take(job.units)
+                job.customer.take_ceiling(job.units)
             if job.inside:
                 self.untold[job.customer.key] = job.customer
-                job.customer.take(now, job.units, job.counted)
-                job.counted = False
+                job.customer.take(now, job.units, job.counted > 0 or job.stood_for)
+                job.counted = 0.0
         number = len(job.tries)
         job.tries.append((server, now))
         job.out[number] = server
@@ -606,12 +649,15 @@
             self.actions.append(api.Fail(job.id))
 
     def _uncount(self, now: float, job: Job) -> None:
-        """Units that were counted but not sent on are given back; where many share a count, as its debt."""
-        customer = job.customer
-        if job.counted and not (customer.thin and customer.elsewhere.told_at == now):
-            customer.unreported -= job.units
-            self.untold[customer.key] = customer
-        job.counted = False
+        """Units that were counted but not sent on are given back.
+
+        Danger: a customer far beyond its quota would be refused all of it, if what is refused were to drain
+        the count as well: hardly anything is let in that way.
+        """
+        if job.counted:
+            job.customer.unreported -= job.counted
+            self.untold[job.customer.key] = job.customer
+        job.counted = 0.0
 
     def _ended(self, now: float, event: api.AttemptEnded) -> None:
         job, server = self.out.pop((event.id, event.attempt), (None, None))
@@ -658,13 +704,19 @@
         Danger: two gateways that ask at once are told of the same room.  The units of a request that
         waits for the answer are counted with the call, so that the later call sees the earlier one.
         """
-        if not self.counting or customer.asked_at > -1e17 or (job and self.rng.random() >= self.ask_share):
+        if not self.counting:
+            return False
+        if customer.asked_at > -1e17:
+            return job is not None
+        short = job is not None and self._short(now, job)  # refused for certain unless it asks
+        if job and not short and self.rng.random() >= self.ask_share:
+            job.stood_for = customer.thin and self._pays(job.plan)
             return False
         if job is not None:
-            job.counted = True
             # Each question stands for those like it that were sent unasked.
             unasked = customer.thin and self._pays(job.plan)
-            customer.unreported += job.units / (self.ask_share if unasked else 1.0)
+            job.counted = job.units / (self.ask_share if unasked else 1.0)
+            customer.unreported += job.counted
         offset = customer.hash % 1000 / 1000
         index = int(now / EPOCH + offset)
         name = customer.hash << 24 | index & 0xFFFFFF
@@ -692,32 +744,47 @@
         else:
             self.answered_at = now
             if event.latency < QUICK * self.settings.counter_timeout:
-                self.ask_share = min(1.0, self.ask_share + ASK_LESS / 8)
+                self.ask_share = min(1.0, self.ask_share + ASK_MORE)
             customer.unreported -= added
             customer.mine += added
             others, known = event.total - customer.mine, customer.elsewhere
             plan, first = customer.plan, known.told_at < -1e17
-            used = event.total + customer.unreported - sum(job.units for job in customer.held)
+            waiting = sum(job.units for job in customer.held if job.counted)
+            used = event.total + customer.unreported - waiting
             level = plan.burst + plan.rate * (now - customer.name_start) - used
-            if first or customer.thin or others < customer.others - 0.01:  # at last: the count was lost
-                since = customer.name_start if first else known.told_at
-                known.rate = max(0.0, others - customer.others) / max(now - since, known.life)
-                known.reset(now, level)
-            else:
-                known.told(now, others - customer.others)
+            # Others take back what they asked for and refused: only a fall by more means a lost count.
+            lost = others < customer.others - self.settings.most_units * customer.spread
+            if plan.ceiling_rate:
+                sent = customer.mine + customer.unreported - sum(job.counted for job in customer.held)
+                customer.told_ceiling(now, self.born or 0.0, others, sent, lost)
+            since = customer.name_start if first else known.told_at
+            known.rate = max(0.0, others - customer.others) / max(now - since, known.life)
+            known.reset(now, level)
             for job in customer.held:
                 inside = known.level(now) >= job.units
                 self.odds[plan.name] += SMOOTH / 4 * (inside - self.odds[plan.name])
             customer.others = max(others, 0.0)
-            # Danger: a count knows no ends, so idle time would add up to credit, and what is refused or sent
-            # beyond the quota to debt.  It is put right at once, so that few do it twice.
-            slack = (1 - self.ask_share + EXACT) * plan.burst
-            if customer.thin and not -slack / 2 < level < plan.burst + 2 * slack:
-                customer.unreported += level - (plan.burst if level > 0 else 0.0)
-                self._ask(now, customer)
         held, customer.held = customer.held, []
         for job in held:
             self._decide(now, job)
+        if event.outcome is api.Outcome.OK:
+            self._put_right(now, customer, event.total)
+
+    def _put_right(self, now: float, customer: Customer, total: float) -> None:
+        """Danger: a count knows no ends, so idle time would add up to credit, and what is sent beyond the
+        quota to debt.  It is put right at once, so that few do it twice, and so is what was refused."""
+        plan = customer.plan
+        level = plan.burst + plan.rate * (now - customer.name_start) - total - customer.unreported
+        slack = min(1 - self.ask_share + EXACT, INEXACT) * plan.burst
+        # What others have asked for and are about to be refused is no debt: that lasts.
+        if level >= -slack / 2:
+            customer.owes_since = now
+        lasting = now - customer.owes_since > LASTS * self.settings.counter_timeout
+        if lasting or level > plan.burst + 2 * slack:
+            customer.unreported += level - (plan.burst if level > 0 else 0.0)
+            customer.owes_since = now
+        if abs(customer.unreported) > LEAST_TOLD * plan.burst:
+            self._ask(now, customer)
 
     def _tick(self, now: float) -> None:
         self.actions.append(api.SetTimer(self.period, TICK))
@@ -726,7 +793,7 @@
             for name in [k for k, c in self.customers.items() if c.idle(now)]:
                 self.by_hash.pop(self.customers.pop(name).hash, None)
         for customer in list(self.untold.values()) if self.counting else ():
-            if abs(customer.unreported) > customer.plan.burst / 8:
+            if abs(customer.unreported) > LEAST_TOLD * customer.plan.burst:
                 self._ask(now, customer)
         if not self.counting and self.settings.peers:
             text = str(self.life)
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -141,16 +141,39 @@
         assert bool(sends(answer)) is passes
 
 
-@pytest.mark.parametrize(("total", "right"), [(-40.0, 0.0), (30.0, 8.0)])
-def test_a_count_beyond_its_ends_is_put_right_at_once(total: float, right: float) -> None:
+def mended(play: Play, total: float) -> list[float]:
+    """What is added beside the question of a request that is sent on or refused."""
+    play.ask(spread=100)
+    call = counts(play)[-1]
+    answer = play.at(0.001, CounterReply(call.name, Outcome.OK, total, 0.001))
+    added = [a.add for a in answer if isinstance(a, Count)]
+    for name in list(play.gateway.asked):
+        play.at(0.001, CounterReply(name, Outcome.OK, total + sum(added), 0.001))
+    return added
+
+
+def test_a_count_beyond_its_ends_is_put_right() -> None:
+    """Idle time is no credit, and that is so at once; a debt may be what others are about to give back."""
     play = Play(THIN)
     play.gateway.ask_share = 1.0
     play.now = 30.0 * 3 - 30.0 * (crc32(b"c") % 1000 / 1000)
-    play.ask(spread=100)
-    answer = play.at(0.001, CounterReply(counts(play)[-1].name, Outcome.OK, total, 0.001))
-    mended = [a for a in answer if isinstance(a, Count)]
-    assert len(mended) == 1
-    assert total + mended[0].add == pytest.approx(right, abs=1.1)  # the store full, or empty
+    assert mended(play, -40.0) == [pytest.approx(40.0, abs=1.1)]
+    play.now += 0.2
+    assert mended(play, 30.0) == []
+    play.now += 20 * THIN.counter_timeout
+    assert sum(mended(play, 30.0)) == pytest.approx(-20.0, abs=4.6)  # the store empty
+
+
+def test_a_request_waits_for_a_call_that_is_out_and_is_told_of() -> None:
+    play = Play(THIN)
+    play.gateway.ask_share = 1.0
+    play.now = 30.0 * 3 - 30.0 * (crc32(b"c") % 1000 / 1000)
+    for _ in range(3):
+        assert not sends(play.ask(spread=100, units=4.0))
+    assert len(counts(play)) == 1
+    answer = play.at(0.001, CounterReply(counts(play)[-1].name, Outcome.OK, 4.0, 0.001))
+    assert len(sends(answer)) == 2  # burst 8
+    assert [a.add for a in answer if isinstance(a, Count)] == [4.0]  # the second one's
 
 
 def test_what_a_crowded_counter_cannot_be_asked_is_sent_where_that_pays() -> None:
@@ -259,8 +282,93 @@
         gateways: int, spread: int, first: int) -> None:
     play = Play(replace(COUNTING, gateways=gateways))
     play.gateway.ask_share = 1.0
-    assert not sends(play.ask(spread=spread, first=first))
+    assert not sends(play.ask(spread=spread, first=first, units=6.0))  # more than half of any slice
     numbers = play.gateway.customers["c"].siblings(play.gateway.settings)
     assert len(set(numbers) | {0}) in (spread, spread + 1)
     assert all(0 <= n < gateways for n in numbers)
     assert sends(play.at(0.001, CounterReply(counts(play)[-1].name, Outcome.OK, 1.0, 0.001)))
+
+
+def test_what_is_refused_is_given_back_to_the_count_at_once() -> None:
+    """Drained by what it refuses, the store of a customer far beyond its quota would admit nothing."""
+    play = Play(THIN)
+    play.gateway.ask_share = 1.0
+    play.now = 30.0 * 3 - 30.0 * (crc32(b"c") % 1000 / 1000)
+    play.ask(spread=100, units=6.0)
+    call = counts(play)[-1]
+    answer = play.at(0.001, CounterReply(call.name, Outcome.OK, call.add + 5.0, 0.001))  # 3 of 8 are left
+    assert isinstance(answer[0], Refuse)
+    assert [a.add for a in answer if isinstance(a, Count)] == [-call.add]
+    play.at(0.001, CounterReply(call.name, Outcome.OK, 5.0, 0.001))
+    play.now += 1.0
+    play.ask(spread=100, units=3.0)
+    call = counts(play)[-1]
+    assert call.add == 3.0
+    assert sends(play.at(0.001, CounterReply(call.name, Outcome.OK, 8.0, 0.001)))
+
+
+CEILED = Plan("basic", rate=2.0, burst=8.0, ceiling_rate=4.0, ceiling_burst=16.0, ceiling_slack=2.0)
+
+
+def young(age: float, others: float) -> tuple[Play, bool]:
+    """A process of that age that asks for its first request of 4 units; whether it is sent on."""
+    play = Play(replace(COUNTING, plans=(CEILED,), most_units=4))
+    play.gateway.ask_share = 1.0
+    play.gateway.born = play.now - age
+    play.ask(units=4.0)
+    call = counts(play)[-1]
+    return play, bool(sends(play.at(0.001, CounterReply(call.name, Outcome.OK, call.add + others, 0.001))))
+
+
+@pytest.mark.parametrize(("age", "others", "passes"),
+                         [(0.0, 0.0, True), (0.0, 1.0, False), (0.5, 2.0, True), (0.5, 3.0, False)])
+def test_a_young_process_is_lent_what_the_whole_ceiling_has_filled_and_others_left(
+        age: float, others: float, passes: bool) -> None:
+    """Its own slice holds at most 3 of the 4 units by then; a used up quota leaves 8 of the ceiling."""
+    assert young(age, others)[1] is passes
+
+
+def test_a_count_that_was_lost_lends_nothing_of_the_ceiling() -> None:
+    play, passed = young(60.0, 0.0)
+    assert passed
+    customer = play.gateway.customers["c"]
+    customer.told_ceiling(play.now, 0.0, 0.0, 4.0, False)
+    assert customer.whole.level > 8.0
+    customer.told_ceiling(play.now, 0.0, 0.0, 4.0, True)
+    assert customer.whole.level <= customer.kept - 4.0
+
+
+def test_no_word_that_just_came_lends_nothing_of_the_ceiling() -> None:
+    play, _ = young(60.0, 0.0)
+    customer = play.gateway.customers["c"]
+    customer.ceiling.level = 0.0
+    assert customer.under_ceiling(play.now, 4.0)
+    assert not customer.under_ceiling(play.now + 0.01, 4.0)
+
+
+def test_restarts_of_all_gateways_keep_a_ceiling_of_which_the_quota_was_used() -> None:
+    """Each life hands out its slices anew; the ceiling's store is the customer's and is not filled anew."""
+    plan = replace(CEILED, rate=0.5, burst=8.0, ceiling_rate=1.0, ceiling_burst=16.0)
+    store, at = plan.ceiling_burst, 100.0
+    for life in range(4):
+        plays = [Play(replace(SETTINGS, plans=(plan,), number=n)) for n in range(2)]
+        for play in plays:
+            play.now = 100.0 + 3.0 * life
+            play.gateway.born = play.now
+        for step in range(60):
+            for play in plays:
+                passed = spend(play, 1)
+                store = min(plan.ceiling_burst, store + plan.ceiling_rate * (play.now - at)) - passed
+                at = play.now
+                play.now = 100.0 + 3.0 * life + 0.05 * (step + 1)
+            assert store > -plan.ceiling_slack
+
+
+def test_a_counter_that_answers_most_calls_is_asked_by_a_gateway_far_from_it() -> None:
+    play = Play(THIN)
+    play.gateway.ask_share = 0.2
+    for n in range(100):
+        play.ask(0.02, customer=f"c{n}", spread=100)
+        for name in list(play.gateway.asked):
+            play.at(0.0, CounterReply(name, Outcome.OK, 1.0, 0.4 * THIN.counter_timeout))
+    assert play.gateway.ask_share > 0.5
