Cold backends: share their budget among the gateways that prefer them, not among all

Checked: the budgets of the new ones were empty nearly always. Ruled out: late lists (the new ones were known within 2 s), connections turned away (none). To blame: logic.py, Fleet.cold_ok: each gateway's part was that of one in 40, but a backend is among the SUBSET of only 8 of them, so five sixths of what it bears was never sent. Up to 12 backends, as the fleet had so far, all gateways prefer all: nothing showed. Now: each gateway counts, by the same hash, how many prefer a backend, and takes that part; a cold backend that it does not prefer it leaves to those that do. Cost: 40 short hashes for each new backend and a sort for each gateway number when the list changes.

--- a/mulleinhall/logic.py
+++ b/mulleinhall/logic.py
@@ -239,6 +239,7 @@
     def __init__(self, info: api.Backend, now: float, level: float = 0.0) -> None:
         self.info, self.present = info, True
         self.out: dict[tuple[str, int], float] = {}  # attempts out and when they were sent
+        self.holders, self.preferred = 1, True  # gateways that prefer it; whether this one does
         self.fresh_start(now, level)
 
     def fresh_start(self, now: float, level: float) -> None:
@@ -317,6 +318,7 @@
         self.done, self.done_at = 0.0, 0.0  # answers a second from here, smoothed over a cold time
         self.densities: deque[float] = deque(maxlen=256)
         self.present: list[Server] = []
+        self.ranks: dict[str, list[int]] = {}  # of each backend, at each gateway
         self.near: list[Server] = []  # this gateway's subset, by rendezvous hash: what it learns is of use
         self.held: dict[tuple[str, int], tuple[float, float]] = {}
         self.area, self.sends, self.wait_at = BUSY, 1.0, -1e18
@@ -338,9 +340,30 @@
         for name in [n for n, s in self.servers.items() if not s.present and not s.out]:
             if self.servers[name].info.readiness is api.Readiness.GONE or name not in named:
                 del self.servers[name]
+                self.ranks.pop(name, None)
         self.present = [s for s in self.servers.values() if s.present]
-        self.near = sorted(self.present, key=lambda s: crc32(f"{self.settings.number} {s.info.id}".encode()))
-        self.near = self.near[:SUBSET]
+        self._share_out()
+
+    def _share_out(self) -> None:
+        """Which backends each gateway prefers, by rendezvous hash, and so how many share each backend."""
+        gateways = self.settings.gateways
+        if len(self.present) <= SUBSET:
+            self.near = list(self.present)
+            for server in self.present:
+                server.holders, server.preferred = gateways, True
+            return
+        for server in self.present:
+            server.holders, server.preferred = 0, False
+        for name in [s.info.id for s in self.present if s.info.id not in self.ranks]:
+            self.ranks[name] = [crc32(f"{number} {name}".encode()) for number in range(gateways)]
+        for number in range(gateways):
+            order = {s.info.id: self.ranks[s.info.id][number] for s in self.present}
+            near = sorted(self.present, key=lambda s: order[s.info.id])[:SUBSET]
+            for server in near:
+                server.holders += 1
+                server.preferred = server.preferred or number == self.settings.number
+            if number == self.settings.number:
+                self.near = near
 
     def mean(self, cls: api.RequestClass) -> float:
         return max(self.means.get(cls.name, cls.aim / 8), self.settings.tick)
@@ -359,16 +382,19 @@
 
     def cold_ok(self, server: Server, now: float, job: Job) -> bool:
         """Danger: a cold backend that all gateways fill at once falls over and stays down.  Each
-        gateway keeps its own part: what backends carry from here when warm, by what a cold one bears."""
+        gateway that prefers it keeps its own part: what backends carry when warm, by what a cold one bears,
+        over as many as share it.  A part of what all gateways together send would never reach it."""
         s = self.settings
         if not server.cold(now, s):
             return True
+        if not server.preferred:
+            return False
         warm = sum(x.info.weight for x in self.present if not x.cold(now, s))
         if warm >= MIN_ELIGIBLE * sum(x.info.weight for x in self.present):
             self.typical = self.done / warm  # when most are cold, what was typical before still holds
         share = s.cold_share + (1 - s.cold_share) * (now - server.info.started) / max(s.cold_time, 1e-6)
-        typical = self.typical * server.info.weight
-        least = 0.5 / (s.fall_time * s.gateways)
+        typical = self.typical * server.info.weight * s.gateways / server.holders
+        least = 0.5 / (s.fall_time * server.holders)
         server.budget.rate = max(least, COLD_MARGIN * s.fall_factor * min(1.0, share) * typical)
         free, work = len(server.out) < max(1.0, server.budget.rate), self.work(job)
         return free and server.budget.fits(now, work, max(1.0, work))
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -231,3 +231,34 @@
         got = sum(start + n <= t < start + n + 1 for t in times)
         share = SETTINGS.cold_share + (1 - SETTINGS.cold_share) * n / 10
         assert 0 < got < 20 * SETTINGS.fall_factor * share * SETTINGS.fall_time * 1.1
+
+
+def test_the_gateways_that_prefer_a_cold_backend_share_all_that_it_bears() -> None:
+    """A part for each of all gateways would leave five sixths of it idle, as a sixth of them sends there."""
+    settings = replace(SETTINGS, gateways=40, cold_time=10.0)
+    fleet = (*(Backend(f"b{n}") for n in range(59)), Backend("cold", started=100.0))
+    rates, holders = [], set[int]()
+    for number in range(40):
+        play = Play(replace(settings, number=number), fleet)
+        [cold] = [s for s in play.gateway.fleet.present if s.info.id == "cold"]
+        play.ask()
+        play.gateway.fleet.done, play.gateway.fleet.units = 6.0, 1.0
+        job = Job(Request("r", "read", "basic", "c", 4.0), SAFE, BASIC, play.gateway.customers["c"], play.now)
+        play.gateway.fleet.cold_ok(cold, play.now, job)
+        rates += [cold.budget.rate] if cold in play.gateway.fleet.near else []
+        holders.add(cold.holders)
+    warm = 40 * 6.0 / 59  # what each backend carries from all gateways
+    assert holders == {len(rates)} and 4 < len(rates) < 16
+    assert sum(rates) == pytest.approx(0.7 * settings.fall_factor * settings.cold_share * warm)
+
+
+def test_a_cold_backend_that_is_not_preferred_gets_nothing_from_here() -> None:
+    fleet = (*(Backend(f"b{n}") for n in range(59)), Backend("cold", started=100.0))
+    for number in range(12):
+        play = Play(replace(SETTINGS, gateways=40, number=number), fleet)
+        preferred = "cold" in {s.info.id for s in play.gateway.fleet.near}
+        [cold] = [s for s in play.gateway.fleet.present if s.info.id == "cold"]
+        cold.budget.level = 1.0
+        for server in play.gateway.fleet.present:
+            server.limit = 0.0 if server is not cold else 1.0  # no other has room
+        assert bool(sends(play.ask())) is preferred
