Eject backends that turn away in a row; retry what never ran outside the budget

One draining backend took 238 attempts, of which it turned away 160. Checked: refusals without any attempt were few; the retry budget (0.15 an attempt) stood at nothing. Ruled out: full queues (those that turned away held 1 to 4 requests). To blame: logic.py, Server.failed, which takes `full` from a quick backend for a matter of the request however often it comes, and _again, which charges the budget that guards against jams for attempts that brought no work. Now: the second in a row without an answer between ejects, each further one doubles the pause; an attempt that is proven never to have run is replaced while there is room, up to the settings' limit on attempts.

--- a/mulleinhall/logic.py
+++ b/mulleinhall/logic.py
@@ -40,6 +40,7 @@
 STALL = 4.0  # mean answer times: a backend that holds work and is silent for longer has stalled
 LOST, PATIENT = 8.0, 0.7  # mean answer times, and of the aim: an attempt out longer than both may be lost
 FAILURE_ROW = 3  # errors or time-outs in a row that eject a backend
+TURNED_ROW = 2  # requests turned away in a row that eject a backend: it leaves, or is full for all
 MIN_ELIGIBLE = 0.5  # of the backends: ejection never leaves fewer
 CROSS_ZONE = 1.1  # a backend of another zone counts as this much busier: a tie-break
 TICK, DISCOVERY = 0, 1  # timer tokens
@@ -250,6 +251,7 @@
         self.limit, self.cut_at, self.was_cut = START_LIMIT, now, False
         self.failures, self.unreachable, self.retry_at, self.heard_at = 0, False, now, now
         self.budget = Bucket(0.0, 1.0, level, now)
+        self.turned = 0  # requests in a row that it turned away
 
     def cold(self, now: float, settings: api.Settings) -> bool:
         return self.info.started > 0.0 and now < self.info.started + settings.cold_time
@@ -257,6 +259,7 @@
     def answered(self, now: float, latency: float, mean: float, aim: float) -> None:
         self.pace += SMOOTH * (latency / max(mean, 1e-6) - self.pace)
         self.pace_at = self.heard_at = now
+        self.turned = 0
         self.wait += SMOOTH * (latency / aim - self.wait)
         if self.wait > BUSY:
             self.cut(now, latency)
@@ -281,9 +284,12 @@
         connections at the first sign, errors and time-outs when they come in a row; each further
         failure doubles the pause, and one attempt then tries it again."""
         if outcome is api.Outcome.FULL:
-            if self.wait >= BUSY:  # else it answers others quickly: it is about this request, not its load
+            # One that answers others quickly means this request, not its load.  Danger: one that drains, as
+            # the list tells late, answers nobody any more, looks idle and draws all traffic.
+            self.turned += 1
+            if self.wait >= BUSY or self.turned >= TURNED_ROW:
                 self.cut(now, 0.0)
-                self.retry_at = max(self.retry_at, now + patience / 4)
+                self.retry_at = max(self.retry_at, now + patience / 4 * 2.0 ** min(self.turned - 1, 5))
             return
         self.failures += 1
         self.unreachable = outcome in (api.Outcome.CONNECT_FAILED, api.Outcome.RESET)
@@ -712,13 +718,14 @@
             job.over = True
             self.jobs.pop(job.id, None)
         elif not job.out:
-            self._again(now, job)
+            self._again(now, job, event.outcome.never_ran)
 
-    def _again(self, now: float, job: Job) -> None:
-        """Danger: retries on top of a jam make it worse.  They keep to a budget and to spare room."""
-        useful = now + self.fleet.mean(job.cls) < job.deadline and self.retries.level >= 1
+    def _again(self, now: float, job: Job, free: bool) -> None:
+        """Danger: retries on top of a jam make it worse.  They keep to spare room and to a budget, but for
+        those that replace what never ran: a release makes many of these at once, and they bring no work."""
+        useful = now + self.fleet.mean(job.cls) < job.deadline and (free or self.retries.level >= 1)
         if useful and self.fleet.pressure(now) < 0 and self._send(now, job):
-            self.retries.take(1.0)
+            self.retries.take(0.0 if free else 1.0)
         else:
             self._finish(now, job)
 
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -4,6 +4,8 @@
 
 from dataclasses import replace
 
+import pytest
+
 from mulleinhall.interface import Backend, BackendsChanged, ListKind, Outcome, Request
 from mulleinhall.logic import BUSY, Gateway, Server
 
@@ -196,3 +198,29 @@
     sent = sends(play.ask(0.01))
     assert sent
     assert sent[0].backend not in {s.info.id for s in near}
+
+
+def test_a_backend_that_turns_all_away_is_left_alone_longer_and_longer() -> None:
+    """It drains, and the list has not told: idle as it looks, it drew a third of all attempts."""
+    server = Server(FLEET[0], 0.0)
+    server.wait, pauses, now = BUSY / 2, list[float](), 0.0
+    for _ in range(7):
+        server.failed(now, Outcome.FULL, 1.0)
+        pauses.append(server.retry_at - now if server.ejected(now) else 0.0)
+        now = max(now, server.retry_at) + 0.01
+    assert pauses[0] == 0.0
+    assert pauses[1:] == pytest.approx([0.5, 1.0, 2.0, 4.0, 8.0, 8.0])
+    server.answered(now, 0.05, 0.05, 1.0)
+    server.failed(now, Outcome.FULL, 1.0)
+    assert not server.ejected(now)
+
+
+@pytest.mark.parametrize(("outcome", "again"), [(Outcome.FULL, True), (Outcome.CONNECT_FAILED, True),
+                                                (Outcome.ERROR, False), (Outcome.RESET, False)])
+def test_what_never_ran_is_tried_again_outside_the_budget(outcome: Outcome, again: bool) -> None:
+    play = Play(WIDE)
+    carry(play, 0.05, 60)
+    play.gateway.retries.level = 0.5
+    [sent] = sends(play.ask())
+    assert bool(sends(play.end(sent, outcome, 0.001))) is again
+    assert play.gateway.retries.level < 1.0
