Subsets: give each backend as many places, so that equally many gateways prefer it

Checked with a small probe over 40 gateways and 60 backends: by hash alone a backend is preferred by 3 to 14 of them, 8 on the mean. Ruled out: sizes (all weigh the same). To blame: logic.py, Fleet.change, the rendezvous subset without bounds. Now: the lowest hashes of all pairs take their places as long as gateway and backend have one left (bounded loads). All gateways compute the same; 7 to 9 prefer each backend; one that leaves moves some 4 in 100 of the preferences. 1.8 ms at the start, 0.7 ms a list.

--- a/mulleinhall/logic.py
+++ b/mulleinhall/logic.py
@@ -324,7 +324,7 @@
         self.done, self.done_at = 0.0, 0.0  # answers a second from here, smoothed over a cold time
         self.densities: deque[float] = deque(maxlen=256)
         self.present: list[Server] = []
-        self.ranks: dict[str, list[int]] = {}  # of each backend, at each gateway
+        self.ranks: dict[str, list[tuple[int, int]]] = {}  # of each backend, at each gateway
         self.near: list[Server] = []  # this gateway's subset, by rendezvous hash: what it learns is of use
         self.held: dict[tuple[str, int], tuple[float, float]] = {}
         self.area, self.sends, self.wait_at = BUSY, 1.0, -1e18
@@ -351,25 +351,36 @@
         self._share_out()
 
     def _share_out(self) -> None:
-        """Which backends each gateway prefers, by rendezvous hash, and so how many share each backend."""
-        gateways = self.settings.gateways
-        if len(self.present) <= SUBSET:
+        """Which backends each gateway prefers, and so how many share each backend: the lowest hashes of all
+        pairs, as far as both have a place left.  Danger: without places some backends are preferred by
+        three times as many as others, and jam while those stand idle."""
+        gateways, share = self.settings.gateways, min(SUBSET, len(self.present))
+        for server in self.present:
+            server.holders, server.preferred = 0, False
+        self.near = []
+        if share == len(self.present):
             self.near = list(self.present)
-            for server in self.present:
+            for server in self.near:
                 server.holders, server.preferred = gateways, True
             return
-        for server in self.present:
-            server.holders, server.preferred = 0, False
         for name in [s.info.id for s in self.present if s.info.id not in self.ranks]:
-            self.ranks[name] = [crc32(f"{number} {name}".encode()) for number in range(gateways)]
-        for number in range(gateways):
-            order = {s.info.id: self.ranks[s.info.id][number] for s in self.present}
-            near = sorted(self.present, key=lambda s: order[s.info.id])[:SUBSET]
-            for server in near:
+            self.ranks[name] = [(crc32(f"{number} {name}".encode()), number) for number in range(gateways)]
+        pairs = sorted((*rank, s.info.id) for s in self.present for rank in self.ranks[s.info.id])
+        wants, places = [share] * gateways, -(-gateways * share // len(self.present))
+        for most in (places, gateways):  # the few that are left over go where the hash leads
+            left = []
+            for pair in pairs:
+                _, number, name = pair
+                server = self.servers[name]
+                if not wants[number] or server.holders >= most:
+                    left.append(pair)
+                    continue
+                wants[number] -= 1
                 server.holders += 1
-                server.preferred = server.preferred or number == self.settings.number
-            if number == self.settings.number:
-                self.near = near
+                if number == self.settings.number:
+                    server.preferred = True
+                    self.near.append(server)
+            pairs = left
 
     def mean(self, cls: api.RequestClass) -> float:
         return max(self.means.get(cls.name, cls.aim / 8), self.settings.tick)
