--- a/mulleinhall/logic.py
+++ b/mulleinhall/logic.py
@@ -98,7 +98,7 @@
         self.own, self.at, self.told_at = 0.0, now, now
 
     def reset(self, now: float, level: float) -> None:
-        """The first word on this customer: its whole store is thought to hold `level`."""
+        """The counter's word: the whole store is thought to hold `level`."""
         self.base, self.own, self.at, self.told_at = min(self.cap, level), 0.0, now, now
 
 
