Drop a forgotten customer's untold use: what came once was kept for good

Played offline to one module (40 requests a second, three in ten by customers that come once): after 200, 400, 600, 800, 1,000 s untold holds 2,446, 4,785, 7,201, 9,578, 11,979 customers while about 1,000 are known; 3.1 to 14.4 MB. Ruled out there: customers, by_hash, jobs, attempts, questions out and backends, all of which keep their size. At fault: logic.py, _tick: what a customer used stays in untold until it is over an eighth of a burst, also when the customer itself is forgotten; and all of it was walked four times a second. Now: who is forgotten leaves untold too. Such a customer was idle for 60 s, twice the time of its count.

--- a/mulleinhall/logic.py
+++ b/mulleinhall/logic.py
@@ -857,6 +857,7 @@
             self.swept = now
             for name in [k for k, c in self.customers.items() if c.idle(now)]:
                 self.by_hash.pop(self.customers.pop(name).hash, None)
+                self.untold.pop(name, None)  # too little to tell, and the count that it belongs to is over
         for customer in list(self.untold.values()) if self.counting else ():
             if abs(customer.unreported) > LEAST_TOLD * customer.plan.burst:
                 self._ask(now, customer)
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -80,6 +80,18 @@
     assert not play.gateway.customers and not play.gateway.by_hash
 
 
+def test_a_forgotten_customer_leaves_nothing_to_tell_behind() -> None:
+    """Customers that come once use too little to tell; some thousands of them were kept for good."""
+    play = Play(COUNTING)
+    for number in range(50):
+        [sent] = sends(play.ask(0.01, customer=f"once-{number}", units=0.5))
+        play.end(sent)
+    assert len(play.gateway.untold) == 50
+    play.at(100.0, Timer(0))
+    assert not play.gateway.customers
+    assert not play.gateway.untold
+
+
 def test_a_short_slice_asks_the_counter_and_lends_what_is_idle_elsewhere() -> None:
     play = Play(COUNTING)
     passed = spend(play, 1)
