Admission: what is sent unasked goes by the customer's own odds as well as its plan's

At fault: logic.py, _decide, which goes by the odds of the plan alone: most of its customers keep to their quota, so one that floods is let in at each gateway again ten seconds after its last answer. Now: each customer keeps odds of its own from the answers that its gateway got; both have to pay.

--- a/mulleinhall/logic.py
+++ b/mulleinhall/logic.py
@@ -22,6 +22,7 @@
 EXACT, INEXACT = 0.1, 0.25  # bursts that a count may pass its ends by; the second where it is crowded
 LEAST_TOLD = 0.125  # bursts of use that the counter is told without a question: less can wait for one
 KEPT = 0.5  # of what a used up quota leaves of a ceiling: lent at once; some is sent beyond quotas
+OWN = 0.3  # weight of the last answer in a customer's own odds: two refusals in a row are word enough
 DOUBT = 0.2  # of a request's units: a slice that holds less makes it doubtful
 LASTS = 10.0  # time-outs that a count has stood in debt before the debt is written off
 ASK_LESS, ASK_MORE = 0.2, 0.02  # of the questions: fewer after one that failed, more after a quick answer
@@ -129,6 +130,7 @@
         self.whole_name = -1  # the count that the whole ceiling follows
         self.asked_at = -1e18  # when the counter call that is out was made
         self.held: list[Job] = []
+        self.odds = 1.0  # share of its questions answered with room
 
     def resize(self, now: float, event: api.Request) -> None:
         """Danger: a customer given other gateways must not get its buckets anew: it would pass a ceiling."""
@@ -633,6 +635,13 @@
         """Whether a request of which nothing is known pays on the mean."""
         return self.odds[plan.name] > plan.over_cost / (1 + plan.over_cost)
 
+    def _likely(self, job: Job) -> bool:
+        """Whether a request that is not asked about pays on the mean, by the odds of its plan and its own.
+        Danger: the plan's are good where most keep to their quota; one that floods through all gateways is
+        beyond its own at each of them."""
+        own = job.customer.odds > job.plan.over_cost / (1 + job.plan.over_cost)
+        return own and self._pays(job.plan) and not (job.repeat and self._doubtful(job))
+
     def _known(self, now: float, customer: Customer) -> bool:
         """Whether there is fresh word of the customer's use: a told total, or word from each sibling."""
         if self.counting:
@@ -655,8 +664,7 @@
             inside, known = customer.slice_fits(now, job.units), customer.elsewhere
             if not inside and customer.thin and now - self.answered_at < EPOCH / 3:  # crowded, not dead
                 recent = now - known.told_at < EPOCH / 3
-                guess = self._pays(plan) and not (job.repeat and self._doubtful(job))
-                inside = known.level(now) >= job.units if recent else guess
+                inside = self._likely(job) and (not recent or known.level(now) >= job.units)
         if plan.open_limit and customer.open >= customer.open_limit:
             inside = False
         pressure, job.inside = self.fleet.pressure(now), inside
@@ -828,6 +836,7 @@
             for job in customer.held:
                 inside = known.level(now) >= job.units
                 self.odds[plan.name] += SMOOTH / 4 * (inside - self.odds[plan.name])
+                customer.odds += OWN * (inside - customer.odds)
             customer.others = max(others, 0.0)
         held, customer.held = customer.held, []
         for job in held:
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -197,6 +197,23 @@
         assert not sends(play.ask(spread=100))
 
 
+def test_what_is_sent_unasked_goes_by_the_customers_own_odds_too() -> None:
+    """Two customers that flooded through 50 gateways made three fifths of what was sent beyond quotas."""
+    play = Play(replace(THIN, plans=(replace(BASIC, over_cost=1.0),)))
+    play.gateway.odds["basic"], play.gateway.ask_share = 0.95, 1.0
+    for _ in range(2):
+        actions = play.ask(1.0, spread=100, customer="flood")
+        while counts := [a for a in actions if isinstance(a, Count)]:  # the second puts the count right
+            assert not sends(actions)
+            actions = play.at(0.0, CounterReply(counts[0].name, Outcome.OK, max(0.0, 1000.0 + counts[0].add),
+                                                0.001))
+    assert play.gateway.customers["flood"].asked_at < 0  # no question is out
+    play.now += 12.0  # its count is not known any more
+    play.gateway.ask_share, play.gateway.answered_at = 0.0, play.now
+    assert not sends(play.ask(spread=100, customer="flood"))
+    assert sends(play.ask(spread=100, customer="other"))
+
+
 def test_use_is_told_each_quarter_second_however_many_gateways() -> None:
     assert Play(THIN).gateway.period == 0.25
 
