Drop what waits for a connection when its client leaves, and give its units back

Seen: when a client left, the module only forgot the job (`Abandoned`), and nobody ended the attempt. One that waited in `Backends._connect` or in the pause of `_place` was written once the connection was up, up to the connect time-out later, for nobody; its units stayed spent. Ruled out: ending attempts that were written too. A cancel stops no work here, and costs a connection. Lines at fault: `Ingress._over` and `Gateway._ended`. Design: `_over` withdraws an attempt that has no connection yet; it ends as moot, which never ran. The module notes what a request took from each bucket, and gives each its part back when the request is over, its last attempt was moot and none reached a backend. The connection that comes up stays for other requests.

--- a/mulleinhall/logic.py
+++ b/mulleinhall/logic.py
@@ -60,8 +60,12 @@
         self.at = now
         return self.level >= units - 1e-9
 
-    def take(self, units: float) -> None:
-        self.level -= units
+    def take(self, units: float, least: float = -1e18) -> float:
+        self.level -= (part := min(units, self.level - least))
+        return part
+
+    def refund(self, units: float) -> None:
+        self.level = min(max(self.cap, self.level), self.level + units)
 
 
 class Elsewhere:
@@ -87,9 +91,6 @@
         others = self.rate * (gap if self.thin else self.life * (1.0 - exp(-gap / self.life)))
         return min(self.cap, self.base + self.fill * gap - others - self.own)
 
-    def take(self, now: float, units: float) -> None:
-        self.own += min(units, max(0.0, self.level(now)))
-
     def told(self, now: float, used: float) -> None:
         """The others used `used` units since the last word."""
         gap = now - self.at
@@ -155,12 +156,22 @@
     def slice_fits(self, now: float, units: float) -> bool:
         return self.slice.fits(now, units, max(self.slice.cap, units))
 
-    def take(self, now: float, units: float, told: bool) -> None:
+    def take(self, now: float, job: Job, told: bool) -> None:
         """Units are spent; what a slice lends out from elsewhere leaves it empty, not in debt."""
-        self.elsewhere.take(now, units)
-        self.slice.level = max(0.0, self.slice.level - units)
-        self.unreported += 0.0 if told else units
-        self.used += units
+        job.told = job.counted if told else job.units
+        job.lent = min(job.units, max(0.0, self.elsewhere.level(now)))
+        self.elsewhere.own += job.lent
+        job.spent.append((self.slice, self.slice.take(job.units, 0.0)))
+        self.unreported += 0.0 if told else job.units
+        self.used += job.units
+
+    def give_back(self, job: Job) -> None:
+        """Each store gets what it gave: what was lent from the whole must not end up in a slice."""
+        for bucket, units in job.spent:
+            bucket.refund(units)
+        self.elsewhere.own -= job.lent
+        self.unreported, self.used = self.unreported - job.told, self.used - job.told
+        job.spent, job.lent, job.told = [], 0.0, 0.0
 
     def under_ceiling(self, now: float, units: float) -> bool:
         """Whether the slice of the ceiling holds the units, or the whole does by word that just came.
@@ -172,10 +183,10 @@
         untold = (self.spread - 1) * LEAST_TOLD * self.plan.burst - self.plan.ceiling_slack / 2
         return self.elsewhere.told_at == now and self.whole.fits(now, units + max(0.0, untold))
 
-    def take_ceiling(self, units: float) -> None:
+    def take_ceiling(self, job: Job) -> None:
         """What is lent from the whole leaves the slice empty, not in debt."""
-        self.whole.take(units)
-        self.ceiling.level = max(0.0, self.ceiling.level - units)
+        for bucket, least in ((self.whole, -1e18), (self.ceiling, 0.0)):
+            job.spent.append((bucket, bucket.take(job.units, least)))
 
     def told_ceiling(self, now: float, born: float, others: float, used: float, lost: bool) -> None:
         """The others' share of the count is `others` by now, and `used` was sent on from here in its time.
@@ -195,7 +206,7 @@
     def settle(self, units: float) -> None:
         """The answer told the true units: the difference is taken or given back."""
         self.elsewhere.own += units
-        self.slice.level = min(max(self.slice.cap, self.slice.level), self.slice.level - units)
+        self.slice.refund(-units)
         self.unreported += units
         self.used += units
 
@@ -209,6 +220,8 @@
         self.deadline = now + event.time_left
         self.inside = False  # its units were taken from the slice
         self.taken = False  # its first attempt was sent
+        self.spent: list[tuple[Bucket, float]] = []  # what it took from its customer's buckets
+        self.reached, self.lent, self.told = False, 0.0, 0.0  # it may have run; for the copy; for the count
         self.counted = 0.0  # units that a call to the counter has added for it
         self.stood_for = False  # others' questions tell the counter of it as well
         self.over, self.repeat = False, event.repeat
@@ -600,8 +613,7 @@
             self.first_wait[cls.name] = event.time_left
         elif abs(event.time_left - self.first_wait.get(cls.name, 0.0)) > self.settings.tick:
             job.late = cls.deadline - event.time_left + self.fleet.mean(cls) > cls.aim
-        hopeless = job.late and not cls.late_worth
-        if hopeless:
+        if job.late and not cls.late_worth:
             self._finish(now, job)
         elif plan.rate and self._may_lend(now, job) and self._ask(now, customer, job):
             customer.held.append(job)  # also behind a call that is out: its answer serves both
@@ -611,8 +623,7 @@
     def _may_lend(self, now: float, job: Job) -> bool:
         """Whether to ask the counter: the slice is low, as others may have been lent what it holds, and what
         is known does not rule out that there is enough by now."""
-        known = job.customer.elsewhere
-        customer, short = job.customer, self._short(now, job)
+        customer, known, short = job.customer, job.customer.elsewhere, self._short(now, job)
         # A crowded counter is asked only of what the slice does not hold.
         low = LOW * self.ask_share * customer.slice.cap
         if (not short and customer.slice_fits(now, job.units + low)) or job.late:
@@ -683,10 +694,10 @@
             job.taken = True
             self.retries.level = min(self.retries.cap, self.retries.level + RETRY_SHARE)
             if job.plan.ceiling_rate:
-                job.customer.take_ceiling(job.units)
+                job.customer.take_ceiling(job)
             if job.inside:
                 self.untold[job.customer.key] = job.customer
-                job.customer.take(now, job.units, job.counted > 0 or job.stood_for)
+                job.customer.take(now, job, job.counted > 0 or job.stood_for)
                 job.counted = 0.0
         number = len(job.tries)
         job.tries.append((server, now))
@@ -753,11 +764,16 @@
             if event.outcome is api.Outcome.TIMEOUT and server.heard_at <= sent:
                 server.answered(now, max(event.latency, job.cls.aim), self.fleet.mean(job.cls), job.cls.aim)
             server.failed(now, event.outcome, self.fleet.patience)
+        job.reached = job.reached or event.outcome not in (api.Outcome.MOOT, api.Outcome.CONNECT_FAILED)
         if event.finished or job.over:
             job.over = True
             self.jobs.pop(job.id, None)
         elif not job.out:
             self._again(now, job, event.outcome.never_ran)
+        if job.over and event.outcome is api.Outcome.MOOT and not job.reached:
+            # Danger: a customer whose clients leave early would pay for requests that no backend ever got.
+            customer.give_back(job)
+            self.untold[customer.key] = customer
 
     def _again(self, now: float, job: Job, free: bool) -> None:
         """Danger: retries on top of a jam make it worse.  They keep to spare room and to a budget, but for
--- a/mulleinhall/net/backends.py
+++ b/mulleinhall/net/backends.py
@@ -306,6 +306,12 @@
     def cancel(self, attempt: Attempt) -> None:
         self._give_up(attempt, Outcome.CANCELLED)
 
+    def withdraw(self, attempt: Attempt) -> None:
+        """Nobody waits for it any more.  Guards against work that is sent on for nobody: what waits for a
+        connection is dropped.  What was written goes on, since to end it would not stop the work."""
+        if attempt.connection is None:
+            self.end(attempt, Outcome.MOOT)
+
     def end(self, attempt: Attempt, outcome: Outcome, value: bytes | None = None,
             load: dict[str, float] | None = None) -> None:
         if attempt.ended:
--- a/mulleinhall/net/ingress.py
+++ b/mulleinhall/net/ingress.py
@@ -173,6 +173,8 @@
         self.ids.discard(request.command.words[2])
         if request.timer is not None:
             request.timer.cancel()
+        if request.out is not None:
+            self.backends.withdraw(request.out)
 
     def _forget(self, key: str) -> None:
         """The module knows that the request is over."""
