Clients: close no connection on which a request is here unread, half here or yet to be answered

Ruled out: closing late by a timer. Looking into the socket first (MSG_PEEK) leaves only requests that cross the close on the wire, which clients send again. Design: `end_if_quiet` is the one way an idle connection ends; the listener stays until nothing waits in it, new ones coming in as others leave; a held-back client is read as far as one command may reach; at the very end what comes is refused, as nothing of it has run.

--- a/mulleinhall/net/clients.py
+++ b/mulleinhall/net/clients.py
@@ -8,6 +8,7 @@
 import re
 import socket
 from collections import deque
+from collections.abc import Iterator
 from dataclasses import dataclass
 from math import ceil
 from typing import Any, Protocol, cast
@@ -157,8 +158,8 @@
 class Client(asyncio.Protocol):
     """One connection of a client."""
 
-    def __init__(self, server: Clients) -> None:
-        self.server = server
+    def __init__(self, server: Clients, sock: socket.socket) -> None:
+        self.server, self.sock = server, sock
         self.reader = hiredis.Reader()
         self.slots: deque[Slot] = deque()
         self.transport: asyncio.Transport | None = None
@@ -172,9 +173,6 @@
         self.transport = cast(asyncio.Transport, transport)  # uvloop has a class of its own
         self.used = self.server.clock()
         self.server.fresh[self] = None
-        if self.server.draining:
-            # Guards against a connection accepted last that would stay: its request may be on the way.
-            self.server.loop.call_later(LAST_CHANCE, self._end_if_idle)
 
     def data_received(self, data: bytes) -> None:
         if self.ending:
@@ -276,18 +274,23 @@
             if self.ending:
                 self.transport.write_eof()
             elif self.server.draining:
-                self.end()
+                # Not at once: more commands may have come with the one that is answered here.
+                self.server.loop.call_soon(self.end_if_quiet)
         if self.full and not self.ending and len(self.slots) <= MOST_PIPELINED // 2:
             self.full = False
             self.server.loop.call_soon(self._parse)
 
-    def _end_if_idle(self) -> None:
-        if not self.slots:
-            self.end()
-
-    def end(self) -> None:
-        """Closes once what was written has gone out."""
-        if self.transport is not None:
+    def unread(self) -> bool:
+        """Whether something has come that the loop has not told of yet."""
+        try:
+            return bool(self.sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT))
+        except OSError:
+            return False
+
+    def end_if_quiet(self) -> None:
+        """Closes once what was written has gone out.  Guards requests that are half here, or here and unread:
+        a close would lose them, and be a reset, which may take the answer before them along."""
+        if self.transport is not None and not (self.slots or self.rest or self.unread()):
             self.transport.close()
 
     def look(self, now: float) -> None:
@@ -304,14 +307,23 @@
         elif self.since is not None:
             if now - self.since > PATIENCE:
                 self._broken("the rest of the command did not come")
-        elif not self.slots and now - self.used > (PATIENCE if self in self.server.fresh else IDLE):
-            self.end()
+        elif not self.slots and now - self.used > self._longest_rest():
+            self.end_if_quiet()
+
+    def _longest_rest(self) -> float:
+        fresh = self in self.server.fresh
+        if self.server.draining:
+            # Guards against a connection accepted last that would stay: its request may be on the way.
+            return LAST_CHANCE if fresh else 0.0
+        return PATIENCE if fresh else IDLE
 
     def _pace(self) -> None:
-        """Back-pressure: a client that does not read its answers, or sends far ahead, is not read."""
+        """Back-pressure: a client that does not read its answers, or sends far ahead, is not read beyond what
+        a command may take.  Up to there it is: that it has left can be seen in no other way."""
         if self.transport is None or self.transport.is_closing() or self.ending:
             return
-        if self.full or self.choked_at is not None:
+        held_back = self.full or self.choked_at is not None
+        if held_back and (len(self.rest) >= LONGEST_COMMAND or 2 * self.server.held > self.server.most_held):
             self.transport.pause_reading()
         else:
             self.transport.resume_reading()
@@ -369,6 +381,7 @@
         self.listener.bind(address)
 
     def open(self) -> None:
+        """From now on clients are taken in."""
         self.listener.listen(BACKLOG)
         self.loop.add_reader(self.listener, self._accept)
 
@@ -392,7 +405,7 @@
                 return False
             sock.setblocking(False)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            client = Client(self)
+            client = Client(self, sock)
             self.connections.add(client)
             task = self.loop.create_task(self._attach(client, sock))
             self.tasks.add(task)
@@ -409,9 +422,12 @@
             self.loop.remove_reader(self.listener)
 
     def _go_on(self) -> None:
-        if self.waiting and not self.draining:
+        if self.waiting and self.listener.fileno() >= 0:
             self.waiting = False
-            self.loop.add_reader(self.listener, self._accept)
+            if self.draining:
+                self._accept_last()
+            else:
+                self.loop.add_reader(self.listener, self._accept)
 
     async def _attach(self, client: Client, sock: socket.socket) -> None:
         try:
@@ -438,16 +454,25 @@
 
     def _spare(self) -> None:
         """Makes room by closing the connection that is missed least."""
+        client = next(self._missed_least(), None)
+        if client is not None:
+            self.busy(client)
+            if client.transport is not None:
+                self.leaving.add(client)
+                client.transport.abort()
+
+    def _missed_least(self) -> Iterator[Client]:
+        """Guards against a request that is on its way on a connection just accepted, or is here and unread,
+        and against an answer that has not gone out: such a one never goes."""
+        yield from self.ended
         now = self.clock()
-        # Guards against a request that is on its way on a connection just accepted: such a one never goes.
-        for line, age in ((self.ended, 0.0), (self.fresh, SILENT), (self.idle, 0.0)):
-            client = next(iter(line), None)
-            if client is not None and now - client.used >= age:
-                self.busy(client)
-                if client.transport is not None:
-                    self.leaving.add(client)
-                    client.transport.abort()
-                return
+        for line, age in ((self.fresh, SILENT), (self.idle, 0.0)):
+            for client in line:
+                if now - client.used < age:
+                    break
+                if client.transport is None or not (
+                        client.rest or client.unread() or client.transport.get_write_buffer_size()):
+                    yield client
 
     def _sweep(self) -> None:
         self.sweeper = self.loop.call_later(SWEEP, self._sweep)
@@ -474,15 +499,23 @@
     def drain(self) -> None:
         """Accepts what has come, closes the listener, and each connection as it falls idle."""
         self.draining = True
-        while not self.waiting and self._accept():
-            pass
-        self._close_listener()
+        now = self.clock()
         for client in list(self.connections):
-            if not client.slots:
-                client.end()
+            client.look(now)
+        self._accept_last()
+
+    def _accept_last(self) -> None:
+        """Guards against the reset of connections that came and wait for a place: the listener is closed when
+        there are none.  Until then they come in as others leave."""
+        self.waiting = False
+        while self._accept():
+            pass
+        if not self.waiting:
+            self._close_listener()
 
     def close(self) -> None:
+        """Ends every connection that no more comes on; the others end with the process."""
         self.sweeper.cancel()
         self._close_listener()
         for client in list(self.connections):
-            client.end()
+            client.end_if_quiet()
--- a/mulleinhall/net/ingress.py
+++ b/mulleinhall/net/ingress.py
@@ -60,6 +60,7 @@
         self.held, self.count = 0, 0
         self.events: deque[api.Event] = deque()
         self.running = False
+        self.refusing = False  # what comes now would get no answer from a backend before the process ends
         self.unsupported: set[str] = set()
         self.watch: asyncio.Task[None] | None = None
         self.backends = Backends(config.backend_sockets, config.most_held, config.connect_timeout,
@@ -117,8 +118,9 @@
         last = self.loop.time() + longest + KILL_AFTER - LAST_WORD
         await asyncio.sleep(GOES_ON)
         self.clients.drain()
-        while self.clients.connections and self.loop.time() < last:
+        while (self.clients.connections or self.clients.waiting) and self.loop.time() < last:
             await asyncio.sleep(0.02)
+        self.refusing = True
         for request in list(self.open.values()):
             self._give_up(request)
         self.clients.close()
@@ -132,8 +134,8 @@
     def request(self, slot: Slot, command: Command, arrived: float) -> None:
         if command.words[2] in self.ids:
             raise BadCommand("the id belongs to an open request")
-        if len(self.open) >= self.config.most_open or self.held > self.config.most_held:
-            slot.answer(BUSY)  # the settings' limit on open requests; nothing has run
+        if self.refusing or len(self.open) >= self.config.most_open or self.held > self.config.most_held:
+            slot.answer(BUSY)  # the settings' limit on open requests, or the end; nothing has run
             return
         self.count += 1
         slot.key = key = str(self.count)  # a client's id may come again once its request is over
--- /dev/null
+++ b/tests/test_net_crossings.py
@@ -0,0 +1,212 @@
+"""Two events that cross, on real connections, in the bad order each time: clients and the planned restart."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import pytest
+
+import mulleinhall.interface as api
+from mulleinhall.net import clients, ingress
+from mulleinhall.net.ingress import Ingress
+from tests.peers import SETTINGS, Address, Caller, backend, command, config, entry, resp, run, until
+from tests.test_net_ingress import Stub, send, serving
+
+
+async def ends(caller: Caller) -> bool:
+    """Whether the connection ends in order, with nothing more: not by a reset."""
+    return await caller.reader.read() == b""
+
+
+def test_commands_that_came_with_the_one_that_is_answered_are_served_while_the_program_ends() -> None:
+    async def body() -> None:
+        async with backend() as peer, serving(config(entry(peer.address))) as (served, address):
+            caller = await Caller.to(address)
+            caller.writer.write(command("first"))
+            assert await caller.answer() == b"first"
+            served.clients.draining = True  # as `drain` does, had it found a request open here
+            caller.writer.write(resp(b"PING") + command("second") + resp(b"PING"))
+            assert [await caller.answer() for _ in range(3)] == [b"PONG", b"second", b"PONG"]
+            assert await ends(caller)
+
+    run(body())
+
+
+def test_commands_beyond_the_most_pipelined_are_served_while_the_program_ends(
+        monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(clients, "MOST_PIPELINED", 4)
+
+    async def body() -> None:
+        async with backend() as peer, serving(config(entry(peer.address))) as (served, address):
+            served.gateway = Stub(send)  # type: ignore[assignment]
+            caller = await Caller.to(address)
+            caller.writer.write(b"".join(command(str(n)) for n in range(30)))
+            await until(lambda: served.open)
+            served.clients.drain()
+            assert [await caller.answer() for _ in range(30)] == [b"%d" % n for n in range(30)]
+            assert await ends(caller)
+
+    run(body())
+
+
+@pytest.mark.parametrize("how", ["drain", "idle", "room"])
+def test_a_request_that_is_here_and_unread_keeps_its_connection(how: str) -> None:
+    """The close comes first though the request is in the socket: it would be a reset, and lose it."""
+    async def body() -> None:
+        async with backend() as peer, serving(config(entry(peer.address))) as (served, address):
+            sock = socket.create_connection(address)
+            sock.sendall(resp(b"PING"))
+            [client] = await connected(served, 1)
+            await until(lambda: client in served.clients.idle)
+            sock.sendall(command("late"))  # in the socket at once, and the loop has no turn before the close
+            if how == "drain":
+                served.clients.drain()
+            elif how == "idle":
+                client.look(served.clock() + clients.IDLE + 1)
+            else:
+                served.clients._spare()
+            sock.setblocking(False)
+            loop, got = asyncio.get_running_loop(), b""
+            while b"late" not in got:
+                got += (more := await loop.sock_recv(sock, 1000))
+                assert more
+            sock.close()
+
+    run(body())
+
+
+@pytest.mark.parametrize("how", ["drain", "room"])
+def test_a_request_that_is_half_here_keeps_its_connection(how: str) -> None:
+    async def body() -> None:
+        async with backend() as peer, serving(config(entry(peer.address))) as (served, address):
+            caller = await Caller.to(address)
+            assert await caller.ask(resp(b"PING")) == b"PONG"
+            text = command("whole")
+            caller.writer.write(text[:50])
+            [client] = await connected(served, 1)
+            await until(lambda: client.rest)
+            if how == "drain":
+                served.clients.drain()
+            else:
+                served.clients._spare()
+            assert await caller.ask(text[50:]) == b"whole"
+            assert how == "room" or await ends(caller)
+
+    run(body())
+
+
+def test_an_answer_that_has_not_gone_out_keeps_its_connection_when_room_is_made() -> None:
+    size = 8 << 20
+    value = b"*3\r\n$1000000\r\n" + b"v" * 1_000_000 + b"\r\n$-1\r\n$-1\r\n"
+
+    async def body() -> None:
+        async with backend(value) as peer, serving(config(entry(peer.address))) as (served, address):
+            served.gateway = Stub(send)  # type: ignore[assignment]
+            sock = socket.socket()
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            sock.connect(address)
+            sock.sendall(b"".join(command(str(n)) for n in range(size // 1_000_000)))
+            [client] = await connected(served, 1)
+            await until(lambda: client.choked_at and not served.open and not client.slots)
+            served.clients._spare()
+            sock.setblocking(False)
+            loop, got = asyncio.get_running_loop(), 0
+            while got < size // 1_000_000 * (1_000_000 + len(b"$1000000\r\n\r\n")):
+                more = await loop.sock_recv(sock, 1 << 20)
+                assert more
+                got += len(more)
+            sock.close()
+
+    run(body())
+
+
+def test_that_a_client_far_ahead_has_left_is_seen_and_the_rest_not_sent_on(
+        monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(clients, "MOST_PIPELINED", 4)
+
+    async def body() -> None:
+        async with backend(b"") as peer, serving(config(entry(peer.address))) as (served, address):
+            stub = Stub(send)
+            served.gateway = stub  # type: ignore[assignment]
+            caller = await Caller.to(address)
+            caller.writer.write(b"".join(command(str(n), d=4000) for n in range(50)))
+            await until(lambda: len(served.open) == 4)
+            caller.writer.close()
+            # Well before the time of the four is up.
+            await asyncio.wait_for(until(lambda: len(stub.of(api.Abandoned)) == 4), 2.0)
+            assert len(stub.of(api.Request)) == 4 and not served.clients.held
+            await until(lambda: not served.clients.connections)
+
+    run(body())
+
+
+def test_connections_that_wait_for_a_place_as_the_listener_closes_are_served() -> None:
+    """All places are taken when the restart begins; more connections with a request wait behind."""
+    async def body() -> None:
+        async with backend() as peer, serving(config(entry(peer.address))) as (served, address):
+            served.gateway = Stub(send)  # type: ignore[assignment]
+            served.clients.most = 3
+            first = [await Caller.to(address) for _ in range(3)]
+            for caller in first:
+                assert await caller.ask(resp(b"PING")) == b"PONG"
+            waiting = [socket.create_connection(address) for _ in range(6)]
+            for number, sock in enumerate(waiting):
+                sock.sendall(command(f"w{number}"))
+            served.clients.drain()
+            loop = asyncio.get_running_loop()
+            for number, sock in enumerate(waiting):
+                sock.setblocking(False)
+                assert await loop.sock_recv(sock, 1000) == b"$2\r\nw%d\r\n" % number
+                sock.close()
+            await until(lambda: served.clients.listener.fileno() < 0 and not served.clients.connections)
+
+    run(body())
+
+
+async def connected(served: Ingress, count: int) -> list[clients.Client]:
+    await until(lambda: len([c for c in served.clients.connections if c.transport]) == count)
+    return list(served.clients.connections)
+
+
+@asynccontextmanager
+async def ending(peer: Address) -> AsyncIterator[tuple[Ingress, Address, asyncio.Event, asyncio.Task[None]]]:
+    """An ingress whose `run` can be told to end."""
+    served = Ingress(config(entry(peer), settings=SETTINGS))
+    stop = asyncio.Event()
+    task = asyncio.create_task(served.run(stop))
+    await until(lambda: served.watch is not None)
+    yield served, served.clients.listener.getsockname(), stop, task
+    await task
+
+
+def test_what_comes_after_the_last_word_is_turned_away_and_not_lost(monkeypatch: pytest.MonkeyPatch) -> None:
+    """A client that sends on behind an open request, up to the end: all of it is answered."""
+    monkeypatch.setattr(ingress, "GOES_ON", 0.0)
+    monkeypatch.setattr(ingress, "KILL_AFTER", ingress.LAST_WORD - 1.9)  # the last word after 0.1 s
+    monkeypatch.setattr(ingress, "FLUSH", 5.0)
+
+    async def body() -> None:
+        async with backend(b"") as peer, ending(peer.address) as (served, address, stop, _):
+            sock = socket.create_connection(address)
+            sock.sendall(command("open"))
+            await until(lambda: peer.commands)
+            close = served.clients.close
+
+            def late() -> None:
+                sock.sendall(command("late"))  # here and unread as the connections are closed
+                close()
+
+            monkeypatch.setattr(served.clients, "close", late)
+            stop.set()
+            sock.setblocking(False)
+            loop, got = asyncio.get_running_loop(), b""
+            while more := await loop.sock_recv(sock, 1000):
+                got += more
+            assert got == b"-ERR failed\r\n-BUSY\r\n"
+            sock.close()
+            assert len(peer.commands) == 1
+
+    run(body())
