Backends: nothing more is written to one that leaves, and what was written in part never ran

Found by reading, with a test each on real connections that fails without the fix: - an attempt that waited for a connection was still written up to 0.8 s after its backend was told to drain. The grace counts from when the agent knew, and lists come late after it was silent: then it is over already; - a `Target` that was gone and came back within that time took on what waited for the one before; - a large command that the connection took in part only, and then broke, timed out or lost its client, counted as one that may have run: an unsafe class failed for it, and its units stayed spent. Ruled out: uvloop queues nothing here any more. With a high-water mark of 0 it writes at once, and tells when something is left over (probed: 300 bytes are out before `write` returns, of 3 MB the rest is told). Lines at fault: `Backends._leaves`, `_closed`, `_overdue`, `Connection.connection_lost`.

--- a/mulleinhall/net/backends.py
+++ b/mulleinhall/net/backends.py
@@ -22,7 +22,6 @@
 
 IDLE_SHARE = 0.6  # of the time after which a backend closes an idle connection: ours goes before
 LEAST_IDLE = 0.1  # s that a connection may rest whatever broke: most are used again sooner
-GRACE_SHARE = 0.8  # of the grace of a drain: nothing is first written after that
 LARGEST = 1024 * 1024  # bytes of a value: some hold far more than the 64 KiB that commands may
 LONGEST_ANSWER = LARGEST + 8 * 1024  # bytes of a value, figures and a report
 LONGEST_LINE = 1024  # bytes of an error line
@@ -46,6 +45,10 @@
         self.timer: asyncio.TimerHandle | None = None
         self.ended = False
 
+    def written(self) -> bool:
+        """Whether all of it was handed to the system, so that it may have come and run."""
+        return self.connection is not None and not self.connection.unsent
+
     def command(self, now: float) -> bytes:
         """The client's command with the time that is left in place of its own."""
         before, names, after = self.parts
@@ -57,12 +60,12 @@
 class Target:
     """One backend as the list has it, and the connections to it that are idle, the latest used last."""
 
-    __slots__ = ("address", "closes", "idle", "listed")
+    __slots__ = ("address", "idle", "leaving", "listed")
 
     def __init__(self, address: tuple[str, int]) -> None:
         self.address = address
         self.idle: list[Connection] = []
-        self.closes: float | None = None  # from then on nothing new is written to it
+        self.leaving = False  # it drains or is gone: nothing new is written to it
         self.listed = True
 
 
@@ -77,9 +80,17 @@
         self.transport: asyncio.Transport | None = None
         self.attempt: Attempt | None = None
         self.idle_since, self.rested, self.open = 0.0, 0.0, True
+        self.unsent = False  # part of the command is still here: the backend can't have begun it
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)  # uvloop has a class of its own
+        self.transport.set_write_buffer_limits(high=0)  # written at once; what is left over is told
+
+    def pause_writing(self) -> None:
+        self.unsent = True
+
+    def resume_writing(self) -> None:
+        self.unsent = False
 
     def data_received(self, data: bytes) -> None:
         attempt = self.attempt
@@ -139,9 +150,9 @@
             self.pool.broke(self.rested)
         self.close()
         if attempt is not None:
-            # Guards against an effect that happens twice: once any of it was handed to the system, all of
-            # it may have come and run.
-            self.pool.end(attempt, Outcome.RESET)
+            # Guards against an effect that happens twice: once all of it was handed to the system, it may
+            # have come and run.
+            self.pool.end(attempt, Outcome.CONNECT_FAILED if self.unsent else Outcome.RESET)
 
     def current(self) -> bool:
         """Guards against a backend that has moved: what answers at the old address is another."""
@@ -200,10 +211,9 @@
 class Backends:
     """The pool.  Each attempt that is started ends exactly once, with a call of `ended`."""
 
-    def __init__(self, most: int, most_held: int, connect_timeout: float, idle_time: float, grace: float,
-                 clock: Clock,
+    def __init__(self, most: int, most_held: int, connect_timeout: float, idle_time: float, clock: Clock,
                  ended: Callable[[Attempt, Outcome, bytes | None, dict[str, float]], None]) -> None:
-        self.most, self.connect_timeout, self.grace = most, connect_timeout, grace * GRACE_SHARE
+        self.most, self.connect_timeout = most, connect_timeout
         self.idle_time, self.clock, self.ended = idle_time * IDLE_SHARE, clock, ended
         self.loop = asyncio.get_running_loop()
         self.targets: dict[str, Target] = {}
@@ -217,10 +227,9 @@
 
     def change(self, full: bool, backends: tuple[Backend, ...],
                addresses: dict[str, tuple[str, int]]) -> None:
-        now = self.clock()
         if full:
             for name in self.targets.keys() - addresses.keys():
-                self._leaves(self.targets[name], now, gone=True)
+                self._gone(name)
         for info in backends:
             target = self.targets.get(info.id)
             if target is None:
@@ -228,28 +237,23 @@
             elif target.address != addresses[info.id]:
                 target.address = addresses[info.id]
                 self._close_idle(target)
-            target.listed = info.readiness is not Readiness.GONE
-            if info.readiness is Readiness.READY:
-                target.closes = None
-            else:
-                self._leaves(target, now, gone=not target.listed)
-        for name, target in list(self.targets.items()):
-            if not target.listed and target.closes is not None and now > target.closes:
-                del self.targets[name]
-
-    def _leaves(self, target: Target, now: float, gone: bool) -> None:
-        if target.closes is None:
-            target.closes = now + self.grace
-        if gone:
-            target.listed = False
-            self._close_idle(target)
+            # Guards against a list that comes late: what waits for a connection would come after the grace.
+            target.leaving = info.readiness is not Readiness.READY
+            if info.readiness is Readiness.GONE:
+                self._gone(info.id)
+
+    def _gone(self, name: str) -> None:
+        """What waits for it knows this target, and ends with it; should it come back, it is another."""
+        target = self.targets.pop(name)
+        target.listed, target.leaving = False, True
+        self._close_idle(target)
 
     # Attempts
 
     def start(self, attempt: Attempt) -> None:
         target = self.targets.get(attempt.backend)
         left = attempt.deadline - attempt.sent
-        if target is None or left <= 0 or self._closed(target):
+        if target is None or left <= 0 or target.leaving:
             self.end(attempt, Outcome.CONNECT_FAILED)
             return
         attempt.timer = self.loop.call_later(left, self._overdue, attempt)
@@ -258,7 +262,7 @@
     def _place(self, target: Target, attempt: Attempt, patient: bool) -> None:
         if attempt.ended:
             return
-        if self._closed(target):
+        if target.leaving:
             self.end(attempt, Outcome.CONNECT_FAILED)
             return
         connection = self._settled(target)
@@ -309,8 +313,8 @@
     def withdraw(self, attempt: Attempt) -> None:
         """Nobody waits for it any more.  Guards against work that is sent on for nobody: what waits for a
         connection is dropped.  What was written goes on, since to end it would not stop the work."""
-        if attempt.connection is None:
-            self.end(attempt, Outcome.MOOT)
+        if not attempt.written():
+            self._give_up(attempt, Outcome.MOOT)
 
     def end(self, attempt: Attempt, outcome: Outcome, value: bytes | None = None,
             load: dict[str, float] | None = None) -> None:
@@ -322,8 +326,8 @@
         self.ended(attempt, outcome, value, load or {})
 
     def _overdue(self, attempt: Attempt) -> None:
-        # What was never written never ran: the connection did not come up in time.
-        self._give_up(attempt, Outcome.TIMEOUT if attempt.connection else Outcome.CONNECT_FAILED)
+        # What was never written whole never ran: the connection did not come up, or take it, in time.
+        self._give_up(attempt, Outcome.TIMEOUT if attempt.written() else Outcome.CONNECT_FAILED)
 
     def _give_up(self, attempt: Attempt, outcome: Outcome) -> None:
         if attempt.connection is not None:
@@ -336,9 +340,6 @@
         connection.rested = self.clock() - connection.idle_since if connection.idle_since else 0.0
         connection.transport.write(attempt.command(self.clock()))
 
-    def _closed(self, target: Target) -> bool:
-        return target.closes is not None and self.clock() >= target.closes
-
     # Connections
 
     async def _connect(self, target: Target, attempt: Attempt) -> None:
@@ -367,8 +368,8 @@
             self.end(attempt, Outcome.CONNECT_FAILED)
         elif attempt.ended:
             self.release(connection)
-        elif self._closed(target) or not connection.current():
-            # Guards against new work for a backend whose grace ran out while the connection came up.
+        elif target.leaving or not connection.current():
+            # Guards against new work for a backend that left or moved while the connection came up.
             connection.close()
             self.end(attempt, Outcome.CONNECT_FAILED)
         else:
--- a/mulleinhall/net/ingress.py
+++ b/mulleinhall/net/ingress.py
@@ -64,7 +64,7 @@
         self.unsupported: set[str] = set()
         self.watch: asyncio.Task[None] | None = None
         self.backends = Backends(config.backend_sockets, config.most_held, config.connect_timeout,
-                                 config.idle_time, self.settings.drain_grace, self.clock, self.ended)
+                                 config.idle_time, self.clock, self.ended)
         self.counter = None if config.counter is None else Counter(
             config.counter, self.settings.counter_timeout, self.clock, self.feed)
         self.clients = Clients(config.listen, config.client_sockets, config.most_held, self.settings, self,
--- a/tests/test_net_backends.py
+++ b/tests/test_net_backends.py
@@ -5,6 +5,7 @@
 import asyncio
 import errno
 import socket
+import struct
 from typing import Any
 
 import pytest
@@ -24,7 +25,7 @@
     def __init__(self, *addresses: Address, most: int = 8, timeout: float = 0.25, idle: float = 15.0) -> None:
         self.ends: list[tuple[int, Outcome, bytes | None]] = []
         self.skipped, clock, self.count = 0.0, unix_clock(), 0
-        self.pool = Backends(most, 3 << 20, timeout, idle, 1.0, lambda: clock() + self.skipped, self.ended)
+        self.pool = Backends(most, 3 << 20, timeout, idle, lambda: clock() + self.skipped, self.ended)
         self.tell(*((Backend(f"s{n}"), address) for n, address in enumerate(addresses)))
 
     def tell(self, *rows: tuple[Backend, Address], full: bool = True) -> None:
@@ -345,13 +346,13 @@
 
 
 @pytest.mark.parametrize("readiness", [Readiness.DRAINING, Readiness.GONE])
-def test_nothing_new_is_written_after_the_grace_of_a_drain(readiness: Readiness) -> None:
+def test_nothing_new_is_written_once_a_drain_is_told(readiness: Readiness) -> None:
+    """The list may come late, so that none of its grace is left: not even what waits is written."""
     async def body() -> None:
         async with backend() as peer:
             pool = Pool(peer.address)
-            pool.send()  # its connection comes up after the grace has run out
+            pool.send()  # its connection comes up after the list
             pool.tell((Backend("s0", readiness=readiness), peer.address), full=False)
-            pool.skipped = 1.0
             assert await pool.end() == (Outcome.CONNECT_FAILED, None)
             pool.send()
             assert await pool.end(2) == (Outcome.CONNECT_FAILED, None)
@@ -371,7 +372,6 @@
             await pool.end()
             pool.tell((Backend("s1"), other.address))
             await until(lambda: pool.pool.sockets == 0)
-            pool.skipped = 1.0
             pool.send("s0")
             assert await pool.end(2) == (Outcome.CONNECT_FAILED, None)
             assert len(peer.commands) == 1
@@ -449,3 +449,93 @@
             assert pool.pool.sockets == 2 and pool.ends[-1][0] == 3
 
     run(body())
+
+
+HUGE = b"\r\n$8000000\r\n" + b"x" * 8_000_000 + b"\r\n"
+
+
+@pytest.mark.parametrize("how", ["reset", "time is up", "client left"])
+def test_what_was_written_in_part_never_ran(how: str) -> None:
+    """The connection takes only part of a large command; then it breaks, or nobody waits any more."""
+    async def body() -> None:
+        loop = asyncio.get_running_loop()
+        with socket.create_server(("127.0.0.1", 0)) as server:
+            server.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            server.setblocking(False)
+            pool = Pool(server.getsockname())
+            attempt = pool.send(wait=0.5 if how == "time is up" else 5.0, parts=(*PARTS[:2], HUGE))
+            peer, _ = await loop.sock_accept(server)
+            await until(lambda: attempt.connection is not None)
+            assert not attempt.written()
+            if how == "reset":
+                peer.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+                peer.close()
+            elif how == "client left":
+                pool.pool.withdraw(attempt)
+            outcome = Outcome.MOOT if how == "client left" else Outcome.CONNECT_FAILED
+            assert await pool.end() == (outcome, None)
+            peer.close()
+            await until(lambda: pool.pool.sockets == 0)
+
+    run(body())
+
+
+def test_what_was_written_whole_is_not_withdrawn_and_may_have_run() -> None:
+    async def script(_: int, reader: Reader, writer: Writer) -> None:
+        assert len((await read_command(reader))[4]) == 8_000_000
+        read.set()
+        await answers.wait()
+        writer.write(value(b"done"))
+        await reader.read()
+
+    read, answers = asyncio.Event(), asyncio.Event()
+
+    async def body() -> None:
+        async with Peer(script) as peer:
+            pool = Pool(peer.address)
+            attempt = pool.send(parts=(PARTS[0].replace(b"*4", b"*5"), PARTS[1], HUGE))
+            await read.wait()
+            await until(attempt.written)
+            pool.pool.withdraw(attempt)
+            assert not attempt.ended
+            answers.set()
+            assert await pool.end() == (Outcome.OK, b"done")
+
+    run(body())
+
+
+@pytest.mark.parametrize("back", ["same", "elsewhere"])
+def test_a_backend_that_is_gone_and_back_is_another_for_what_waited(back: str) -> None:
+    async def body() -> None:
+        async with backend() as peer, backend() as other:
+            pool = Pool(peer.address)
+            pool.send()  # its connection comes up after both lists
+            pool.tell((Backend("s0", readiness=Readiness.GONE), peer.address), full=False)
+            pool.tell((Backend("s0"), peer.address if back == "same" else other.address), full=False)
+            assert await pool.end() == (Outcome.CONNECT_FAILED, None)
+            pool.send()
+            assert (await pool.end(2))[0] is Outcome.OK
+            assert len(peer.commands) == (back == "same") and len(other.commands) == (back != "same")
+            await until(lambda: pool.pool.sockets == 1)
+
+    run(body())
+
+
+@pytest.mark.parametrize("change", ["moved", "gone", "drains"])
+def test_a_backend_that_leaves_or_moves_while_an_attempt_pauses_gets_nothing(
+        change: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    async def body() -> None:
+        async with backend() as peer, backend() as other:
+            pool = Pool(peer.address)
+            pool.send()
+            assert (await pool.end())[0] is Outcome.OK
+            monkeypatch.setattr(module, "SETTLED", 0.05)
+            pool.send()  # the connection has to settle first
+            readiness = {"moved": Readiness.READY, "gone": Readiness.GONE, "drains": Readiness.DRAINING}
+            address = other.address if change == "moved" else peer.address
+            pool.tell((Backend("s0", readiness=readiness[change]), address), full=False)
+            outcome = Outcome.OK if change == "moved" else Outcome.CONNECT_FAILED
+            assert (await pool.end(2))[0] is outcome
+            assert len(peer.commands) == 1 and len(other.commands) == (change == "moved")
+
+    run(body())
