--- a/tests/test_net_backends.py
+++ b/tests/test_net_backends.py
@@ -539,3 +539,22 @@
             assert len(peer.commands) == 1 and len(other.commands) == (change == "moved")
 
     run(body())
+
+
+def test_a_connection_is_not_used_again_while_a_second_copy_may_come() -> None:
+    """4.03 ms is the longest delay that was seen."""
+    async def body() -> None:
+        async with backend() as peer:
+            pool, now = Pool(peer.address), 100.0
+            pool.pool.clock = lambda: now
+            pool.send()
+            assert (await pool.end())[0] is Outcome.OK
+            [connection] = pool.pool.targets["s0"].idle
+            now += 0.0041
+            attempt = pool.send()
+            assert connection.attempt is None and attempt.connection is None
+            now += 1.0
+            assert (await pool.end(2))[0] is Outcome.OK
+            assert connection.idle_since == now
+
+    run(body())
