Discovery: notice silence in 1.5 s where lists are pushed; signals wait while the program loads

Found by reading; each with a test on real connections or processes that fails without the fix: - a watch may stay silent for 3.5 s, the first call after SIGHUP for 3 s of the 4 s: one more silent call, and what the agent holds counts as told. Addresses are IPv4, as there is no DNS; - SIGHUP or SIGTERM while modules are loaded killed the process; a program that is told to end before it listens does not begin to. `__main__` only blocks signals now, the rest is in `net/program.py`. Lines at fault: `GRACE`, `ASK_TIMEOUT` and `Discovery._ask`; `Ingress.run`, `reload`; `Counter.close`.

--- a/mulleinhall/__main__.py
+++ b/mulleinhall/__main__.py
@@ -2,66 +2,17 @@
 
 from __future__ import annotations
 
-import asyncio
-import logging
-import os
 import signal
 import sys
-from pathlib import Path
-
-import uvloop
-
-from mulleinhall.net.config import BadConfig, Config, read_config
-from mulleinhall.net.ingress import Ingress
-
-log = logging.getLogger("mulleinhall")
-
-
-def load() -> Config:
-    """The configuration as the file holds it now; BadConfig names what is wrong with it."""
-    path = os.environ.get("EDGE_CONFIG", "")
-    if not path:
-        raise BadConfig("EDGE_CONFIG: not set")
-    try:
-        return read_config(Path(path).read_text(encoding="utf-8"))
-    except (OSError, UnicodeDecodeError) as error:
-        raise BadConfig(f"EDGE_CONFIG: {error}") from None
-
-
-async def serve(config: Config) -> None:
-    stop = asyncio.Event()
-    loop = asyncio.get_running_loop()
-    ingress = Ingress(config)
-
-    def reload() -> None:
-        """Guards the process against a file that is broken or half written: the old values are kept."""
-        try:
-            ingress.reload(load())
-        except BadConfig as error:
-            log.error("configuration not taken: %s", error)
-
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stop.set)
-    loop.add_signal_handler(signal.SIGHUP, reload)
-    signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
-    await ingress.run(stop)
 
 
 def main() -> int:
-    # Guards against a SIGHUP that comes before its handler stands: it waits, so no change is missed.
-    signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
-    logging.basicConfig(level=logging.INFO, stream=sys.stderr, format="%(levelname)s %(name)s: %(message)s")
-    try:
-        config = load()
-    except BadConfig as error:
-        print(f"mulleinhall: {error}", file=sys.stderr)
-        return 2
-    try:
-        uvloop.run(serve(config))
-    except OSError as error:
-        print(f"mulleinhall: listen: {error}", file=sys.stderr)
-        return 1
-    return 0
+    # Guards against a signal that comes before its handler stands, while the rest is loaded (a second at a
+    # small share of a core): it waits, so that no change is missed and a stop is an end in order.
+    signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP, signal.SIGTERM, signal.SIGINT})
+    from mulleinhall.net import program
+
+    return program.main()
 
 
 if __name__ == "__main__":
--- a/mulleinhall/net/config.py
+++ b/mulleinhall/net/config.py
@@ -8,7 +8,7 @@
 from typing import Any, TypeVar
 
 from mulleinhall.interface import Settings
-from mulleinhall.net.discovery import Listing, read_listing
+from mulleinhall.net.discovery import Listing, read_address, read_listing
 from mulleinhall.wire import read_settings
 
 T = TypeVar("T")
@@ -49,11 +49,11 @@
     return value
 
 
-def read_address(text: str, key: str) -> Address:
-    host, _, port = text.rpartition(":")
-    if not host or not port.isdecimal() or not 0 <= int(port) < 65536:
-        raise BadConfig(f"{key}: {text!r} is not an address and port")
-    return host, int(port)
+def _address(text: str, key: str) -> Address:
+    try:
+        return read_address(text)
+    except ValueError as error:
+        raise BadConfig(f"{key}: {error}") from None
 
 
 def _positive(source: Mapping[str, Any], key: str, default: float) -> float:
@@ -66,7 +66,7 @@
 def read_config(text: str) -> Config:
     try:
         source = json.loads(text)
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         raise BadConfig(f"EDGE_CONFIG: not JSON: {error}") from None
     if not isinstance(source, dict):
         raise BadConfig("EDGE_CONFIG: not an object")
@@ -99,9 +99,9 @@
     backend_sockets = (sockets - min(SPARE_FILES, sockets // 2)) // 3
     return Config(
         name=_get(source, "name", str),
-        listen=read_address(_get(source, "listen", str), "listen"),
-        discovery=read_address(_get(source, "discovery", str), "discovery"),
-        counter=None if counter is None else read_address(counter, "counter"),
+        listen=_address(_get(source, "listen", str), "listen"),
+        discovery=_address(_get(source, "discovery", str), "discovery"),
+        counter=None if counter is None else _address(counter, "counter"),
         seed=number, client_sockets=2 * backend_sockets, backend_sockets=backend_sockets, known=known,
         settings=settings,
         connect_timeout=_positive(limits, "connect-timeout-s", 0.25),
--- a/mulleinhall/net/counter.py
+++ b/mulleinhall/net/counter.py
@@ -103,6 +103,7 @@
         self.connecting: asyncio.Task[None] | None = None  # to the address that holds now
         self.tasks: set[asyncio.Task[None]] = set()
         self.unsent: deque[Call] = deque()  # wait for the connection to come up
+        self.closed = False
 
     def call(self, name: int, add: float, lifetime: float) -> None:
         line = b"add %d %s %d\r\n" % (name, _decimal(add), min(max(1, round(lifetime * 1000)), 60_000))
@@ -137,6 +138,8 @@
             self._open()
 
     def _open(self) -> None:
+        if self.closed:
+            return
         self.connecting = task = self.loop.create_task(self._connect())
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
@@ -222,6 +225,8 @@
             self.links.remove(link)
 
     def close(self) -> None:
+        """No connection comes up from now on, nor stays that is coming up."""
+        self.closed, self.connecting = True, None
         for link in list(self.links):
             link.drop()
 
--- a/mulleinhall/net/discovery.py
+++ b/mulleinhall/net/discovery.py
@@ -8,6 +8,7 @@
 import random
 from collections.abc import Callable
 from dataclasses import dataclass
+from ipaddress import IPv4Address
 from typing import Any
 
 import aiohttp
@@ -23,6 +24,10 @@
 ASK_TIMEOUT = 3.0  # s for a call that does not wait, its turn included
 FIRST_PAUSE = 0.1  # s, at most, before the first try after a failure; each further failure doubles it
 MOST_PAUSE = 1.0  # s, at most, while the agent is silent: to ask it costs nobody else
+# Where lists are pushed no call waits its turn: an agent that has not answered by then has fallen silent, and
+# what it holds counts as told all the while, 4 s after SIGHUP or 6 s after the silence began.
+PUSHED_GRACE, PUSHED_TIMEOUT, PUSHED_PAUSE = 0.5, 1.0, 0.25  # s: in place of GRACE, ASK_TIMEOUT, MOST_PAUSE
+MOST_BYTES = 4 * 1024 * 1024  # of an answer: some ten thousand backends
 FIRST_CROWDED = 0.8  # s: the same where discovery turns calls away; each one costs the others a turn
 MOST_CROWDED = 12.8  # s: some forty ingresses then bring no more calls than it can take meanwhile
 
@@ -37,17 +42,26 @@
     addresses: dict[str, tuple[str, int]]
 
 
+def read_address(text: str) -> tuple[str, int]:
+    """An IPv4 address and a port; ValueError otherwise.  Guards the sockets: names are looked up nowhere,
+    and what is none fails with errors of all kinds once it is connected to."""
+    host, _, port = text.rpartition(":")
+    if not (port.isascii() and port.isdecimal()) or not 0 <= int(port) < 65536:
+        raise ValueError(f"{text!r} is not an address and port")
+    return str(IPv4Address(host)), int(port)
+
+
 def _read_entry(row: Any) -> tuple[Backend, tuple[str, int]]:
-    host, _, port = row["addr"].rpartition(":")
-    if not host or not 0 < int(port) < 65536:
-        raise ValueError(f"addr: {row['addr']!r}")
+    address = read_address(row["addr"])
+    if not address[1]:
+        raise ValueError("addr: no port")
     name, started, weight = row["id"], row.get("started_ms") or 0, row.get("weight", 1.0)
     if not isinstance(name, str) or not name:
         raise ValueError(f"id: {name!r}")
     if not 0 <= started < 1e15 or not 0 <= weight < 1e9:
         raise ValueError("started_ms or weight is out of range")
     return Backend(name, row.get("zone", ""), row.get("kind", ""), row.get("cell", 0),
-                   Readiness(row["state"]), float(weight), started / 1000), (host, int(port))
+                   Readiness(row["state"]), float(weight), started / 1000), address
 
 
 def read_listing(body: Any) -> Listing:
@@ -69,10 +83,10 @@
     return Listing(version, bool(body.get("full")), tuple(backends), addresses)
 
 
-def pause(failures: int, crowded: bool, rng: random.Random) -> float:
+def pause(failures: int, crowded: bool, rng: random.Random, longest: float = MOST_PAUSE) -> float:
     """Exponential backoff with full jitter.  Guards discovery against all ingresses at once: with equal
     pauses they come again together, and a service that is overbooked never gets free."""
-    first, most = (FIRST_CROWDED, MOST_CROWDED) if crowded else (FIRST_PAUSE, MOST_PAUSE)
+    first, most = (FIRST_CROWDED, MOST_CROWDED) if crowded else (FIRST_PAUSE, longest)
     return rng.uniform(0.0, min(most, first * 2.0 ** min(failures, 32)))
 
 
@@ -88,10 +102,12 @@
     """Follows the agent for as long as `run` runs; each change goes to `told`."""
 
     def __init__(self, address: tuple[str, int], told: Callable[[ListKind, Listing], None],
-                 rng: random.Random, version: int | None = None) -> None:
+                 rng: random.Random, version: int | None = None, pushed: bool = False) -> None:
         self.url = f"http://{address[0]}:{address[1]}/api/targets"
         self.told, self.rng = told, rng
         self.version = version  # of the list that is held here; None: ask for all of it
+        self.grace, self.timeout, self.longest = (
+            (PUSHED_GRACE, PUSHED_TIMEOUT, PUSHED_PAUSE) if pushed else (GRACE, ASK_TIMEOUT, MOST_PAUSE))
 
     async def run(self) -> None:
         failures = 0
@@ -109,18 +125,24 @@
                         log.warning("discovery: %s: %s", type(error).__name__, error)
                     if not isinstance(error, Unavailable):
                         self.version = None
-                    await asyncio.sleep(pause(failures, isinstance(error, Crowded), self.rng))
+                    crowded = isinstance(error, Crowded)
+                    await asyncio.sleep(pause(failures, crowded, self.rng, self.longest))
                     failures += 1
 
     async def _ask(self, session: aiohttp.ClientSession) -> None:
-        query, limit = "", ASK_TIMEOUT
+        query, limit = "", self.timeout
         if self.version is not None:
-            query, limit = f"?after={self.version}&wait_ms={WAIT_MS}", WAIT_MS / 1000 + GRACE
+            query, limit = f"?after={self.version}&wait_ms={WAIT_MS}", WAIT_MS / 1000 + self.grace
         try:
             async with session.get(self.url + query, timeout=aiohttp.ClientTimeout(total=limit)) as answer:
                 if answer.status != 200:
                     raise Crowded(f"status {answer.status}")
-                body = await answer.read()
+                body = b""
+                async for part in answer.content.iter_any():
+                    body += part
+                    if len(body) > MOST_BYTES:
+                        # Guards the memory against an answer that never ends.
+                        raise ValueError("the list is too long")
         except (aiohttp.ClientError, OSError, TimeoutError) as error:
             raise Unavailable(f"{type(error).__name__}: {error}") from None
         listing = read_listing(json.loads(body))
--- a/mulleinhall/net/ingress.py
+++ b/mulleinhall/net/ingress.py
@@ -59,7 +59,8 @@
         self.attempts: dict[tuple[str, int], Attempt] = {}  # those that are out
         self.held, self.count = 0, 0
         self.events: deque[api.Event] = deque()
-        self.running = False
+        self.running, self.over = False, False
+        self.known = config.known.version if config.known.backends else None
         self.refusing = False  # what comes now would get no answer from a backend before the process ends
         self.unsupported: set[str] = set()
         self.watch: asyncio.Task[None] | None = None
@@ -76,17 +77,27 @@
         # Guards what comes first against the start, which takes more of the processor than a second gives: a
         # machine that listens takes requests, and lists count as told, though the process has no time yet.
         await asyncio.sleep(LOADED)
+        if stop.is_set():
+            # Guards against requests taken in by a program that was told to end before it began: the time
+            # that SIGKILL leaves has been running, and nobody knows for how long.
+            self.clients.close()
+            self._close()
+            return
         self.clients.open()
         # What is held is asked to be brought up to date: a whole list for each of many that start together
         # is what discovery can least bear.
-        self._watch(self.config.known.version if self.config.known.backends else None)
+        self._watch(self.known)
         log.info("%s serves on %s:%d", self.config.name, *self.config.listen)
         await stop.wait()
         await self._drain()
+        self._close()
         if (watch := self.watch) is not None:
             watch.cancel()
             with contextlib.suppress(asyncio.CancelledError):
                 await watch
+
+    def _close(self) -> None:
+        self.over = True
         self.backends.close()
         if self.counter is not None:
             self.counter.close()
@@ -95,16 +106,22 @@
         """A new watch on discovery, from a whole list unless a version of it is held; the old one ends."""
         if self.watch is not None:
             self.watch.cancel()
-        discovery = Discovery(self.config.discovery, self.listed, self.rng, version)
+        discovery = Discovery(self.config.discovery, self.listed, self.rng, version,
+                              not self.settings.ask_discovery)
         self.watch = self.loop.create_task(discovery.run())
 
     def reload(self, config: Config) -> None:
         """The configuration was replaced: discovery and counter may be elsewhere.  What is not told here
         holds from the next start."""
+        if self.over:
+            return
         old, self.config = self.config, replace(
             self.config, discovery=config.discovery, counter=config.counter)
         if config.discovery != old.discovery:
-            self._watch()
+            # Guards against changes that don't apply to the list held here: versions may count anew there.
+            self.known = None
+            if self.watch is not None:
+                self._watch()
         if self.counter is not None and config.counter is not None and config.counter != old.counter:
             self.counter.move(config.counter)
         log.info("configuration read again: discovery %s, counter %s", config.discovery, config.counter)
--- a/tests/test_net_config.py
+++ b/tests/test_net_config.py
@@ -26,7 +26,10 @@
 
 @pytest.mark.parametrize(("changes", "key"), [
     ({"name": None}, "name"), ({"listen": "x"}, "listen"), ({"listen": "x:y"}, "listen"),
-    ({"listen": "127.0.0.1:70000"}, "listen"), ({"discovery": 5}, "discovery"), ({"seed": "xyz"}, "seed"),
+    ({"listen": "127.0.0.1:70000"}, "listen"),
+    ({"listen": "a.example:80"}, "listen"), ({"discovery": "127.0.0.1:8\u0665"}, "discovery"),
+    ({"discovery": "x" * 70 + ":80"}, "discovery"), ({"discovery": "\0:80"}, "discovery"),
+    ({"discovery": 5}, "discovery"), ({"seed": "xyz"}, "seed"),
     ({"seed": None}, "seed"), ({"limits": None}, "limits"), ({"limits": {"sockets": "many"}}, "sockets"),
     ({"limits": {"sockets": 5}}, "sockets"), ({"known": {"version": 1}}, "known"),
     ({"settings": None}, "settings"),
@@ -41,6 +44,11 @@
     assert "\n" not in str(caught.value)
 
 
+def test_a_file_that_is_nested_without_end_is_no_configuration() -> None:
+    with pytest.raises(BadConfig, match="EDGE_CONFIG"):
+        read_config("[" * 100_000)
+
+
 @pytest.mark.parametrize(("text", "key"), [(None, "EDGE_CONFIG"), ("{", "EDGE_CONFIG"),
                                            (config_text(seed="xyz"), "seed")])
 def test_the_program_ends_with_one_line(text: str | None, key: str, tmp_path: Path) -> None:
--- a/tests/test_net_counter.py
+++ b/tests/test_net_counter.py
@@ -301,3 +301,35 @@
             assert not calls.counter.links and not new.connections
 
     run(body())
+
+
+@pytest.mark.parametrize("unsent", [0, 3])
+def test_a_connection_that_comes_up_after_the_end_is_dropped(unsent: int) -> None:
+    async def body() -> None:
+        async with scripted(b"ok 1\r\n") as peer:
+            calls = Calls(peer.address, timeout=0.2)
+            calls.add()
+            calls.counter.close()  # while the connection comes up
+            for _ in range(unsent):
+                calls.add()
+            await until(lambda: len(calls.replies) == unsent + 1 and not calls.counter.tasks)
+            assert {reply.outcome for reply in calls.replies} == {Outcome.CONNECT_FAILED}
+            await until(lambda: peer.ended == peer.connections)
+            assert not calls.counter.links and peer.commands in ([], [[b""]])
+
+    run(body())
+
+
+def test_calls_that_wait_unsent_go_to_the_new_address_once_though_the_old_one_fails() -> None:
+    async def body() -> None:
+        with socket.create_server(("127.0.0.1", 0)) as server:
+            nobody = server.getsockname()
+        async with scripted(b"ok 1\r\n", b"ok 2\r\n") as new:
+            calls = Calls(nobody)
+            calls.add(1)
+            calls.add(2)
+            calls.counter.move(new.address)
+            assert await calls.reply(2) == (2, Outcome.OK, 2.0)
+            assert [line[:5] for [line] in new.commands if line] == [b"add 1", b"add 2"]
+
+    run(body())
--- a/tests/test_net_discovery.py
+++ b/tests/test_net_discovery.py
@@ -48,12 +48,13 @@
                              b"Content-Length: %d\r\n\r\n%b" % (len(answer), answer))
 
 
-async def watch(agent: Agent, calls: int, version: int | None = None) -> list[tuple[ListKind, Listing]]:
+async def watch(agent: Agent, calls: int, version: int | None = None, pushed: bool = False) -> list[
+        tuple[ListKind, Listing]]:
     """What was told until the agent was asked so many times."""
     told: list[tuple[ListKind, Listing]] = []
     async with agent.peer:
         discovery = Discovery(agent.peer.address, lambda kind, found: told.append((kind, found)), Random(1),
-                              version)
+                              version, pushed)
         task = asyncio.create_task(discovery.run())
         await until(lambda: len(agent.asked) >= calls)
         task.cancel()
@@ -131,6 +132,48 @@
     run(body())
 
 
+def test_where_lists_are_pushed_silence_is_noticed_in_time(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Some calls in a row may stay silent before what they miss counts as told."""
+    assert 3 * (module.WAIT_MS / 1000 + module.PUSHED_GRACE + module.PUSHED_PAUSE) < 6.0  # open watches
+    assert 3 * (module.PUSHED_TIMEOUT + module.PUSHED_PAUSE) < 4.0  # after SIGHUP
+    monkeypatch.setattr(module, "WAIT_MS", 10)
+    monkeypatch.setattr(module, "PUSHED_GRACE", 0.05)
+    monkeypatch.setattr(module, "PUSHED_TIMEOUT", 0.05)
+
+    async def body() -> None:
+        agent = Agent(None, None, listing(1, True, entry(HERE)), None, None, listing(2, False, entry(HERE)))
+        told = await asyncio.wait_for(watch(agent, 7, pushed=True), 2.0)
+        assert [found.version for _, found in told] == [1, 2]
+
+    run(body())
+
+
+def test_a_list_without_end_is_dropped(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(module, "MOST_BYTES", 100_000)
+
+    async def endless(number: int, reader: Reader, writer: Writer) -> None:
+        while await reader.readuntil(b"\r\n\r\n"):
+            if number:
+                answer = listing(1, True, entry(HERE))
+                writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(answer), answer))
+                continue
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 1000000000\r\n\r\n")
+            while True:
+                writer.write(b" " * 65536)
+                await writer.drain()
+
+    async def body() -> None:
+        told: list[Listing] = []
+        async with Peer(endless) as peer:
+            discovery = Discovery(peer.address, lambda _, found: told.append(found), Random(1))
+            task = asyncio.create_task(discovery.run())
+            await asyncio.wait_for(until(lambda: told), 2.0)  # not once the call's time is up
+            task.cancel()
+            await asyncio.gather(task, return_exceptions=True)
+
+    run(body())
+
+
 def test_the_process_outlives_a_fault_in_what_is_told() -> None:
     async def body() -> None:
         agent = Agent(listing(1, True, entry(HERE)), listing(2, True, entry(HERE)))
@@ -149,7 +192,9 @@
 
 
 @pytest.mark.parametrize("change", [
-    {"addr": "nowhere"}, {"addr": "127.0.0.1:99999"}, {"addr": 7}, {"id": None}, {"id": ""}, {"state": "odd"},
+    {"addr": "nowhere"}, {"addr": "127.0.0.1:99999"}, {"addr": 7}, {"addr": "a.example:80"},
+    {"addr": "x" * 70 + ".y:80"}, {"addr": "\0:80"}, {"addr": "127.0.0.1:0"},
+    {"addr": ":80"}, {"addr": "[::1]:80"}, {"id": None}, {"id": ""}, {"state": "odd"},
     {"started_ms": "x"}, {"started_ms": -1}, {"weight": "x"}, {"weight": -1},
 ])
 def test_a_malformed_entry_is_skipped_and_logged(
--- a/tests/test_net_reload.py
+++ b/tests/test_net_reload.py
@@ -10,6 +10,8 @@
 from contextlib import asynccontextmanager
 from pathlib import Path
 
+import pytest
+
 from mulleinhall.net.ingress import Ingress
 from tests.peers import (
     SETTINGS,
@@ -130,3 +132,69 @@
                 await task
 
     run(body())
+
+
+def test_a_reload_before_the_watch_begins_asks_the_new_agent_for_the_whole_list() -> None:
+    """Its versions may count anew: changes since the known one would leave backends out for good."""
+    async def body() -> None:
+        old, new = Agent(listing(1, True)), Agent(listing(50, True), listing(51, False))
+        async with old.peer, new.peer:
+            served = Ingress(config(entry(("127.0.0.1", 1)), discovery="{}:{}".format(*old.peer.address)))
+            stop = asyncio.Event()
+            task = asyncio.create_task(served.run(stop))
+            await asyncio.sleep(0)  # it waits, and does not listen yet
+            served.reload(config(discovery="{}:{}".format(*new.peer.address)))
+            assert served.watch is None  # it begins once, when the start is made up for
+            await until(lambda: len(new.asked) == 3)
+            assert new.asked[0] == "/api/targets" and not old.asked and new.peer.connections == 1
+            stop.set()
+            await task
+
+    run(body())
+
+
+def test_a_reload_after_the_end_begins_nothing() -> None:
+    async def body() -> None:
+        old, new = Agent(listing(1, True)), Agent()
+        async with old.peer, new.peer:
+            served = Ingress(config(discovery="{}:{}".format(*old.peer.address)))
+            stop = asyncio.Event()
+            task = asyncio.create_task(served.run(stop))
+            await until(lambda: len(old.asked) == 2)
+            stop.set()
+            await until(lambda: served.over)
+            served.reload(config(discovery="{}:{}".format(*new.peer.address)))
+            await task
+            assert served.watch is not None and served.watch.done() and not new.peer.connections
+
+    run(body())
+
+
+@pytest.mark.parametrize("number", [signal.SIGHUP, signal.SIGTERM])
+def test_a_signal_while_the_program_is_loaded_waits_for_its_handler(
+        number: signal.Signals, tmp_path: Path) -> None:
+    """Sent before the first of its own modules is read: it kills the process where nothing blocks it."""
+    path, stub = tmp_path / "config.json", tmp_path / "uvloop.py"
+    path.write_text(config_text(listen=f"127.0.0.1:{free_port()}"), encoding="utf-8")
+    # Stands where uvloop would be found, signals the process as it is loaded, and makes way for the real one.
+    stub.write_text(
+        f"import os, sys\nos.kill(os.getpid(), {int(number)})\nsys.path.remove({str(tmp_path)!r})\n"
+        "del sys.modules['uvloop']\nimport uvloop\n", encoding="utf-8")
+
+    async def body() -> None:
+        process = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "mulleinhall", cwd=ROOT, stderr=asyncio.subprocess.PIPE,
+            env=os.environ | {"EDGE_CONFIG": str(path), "PYTHONPATH": str(tmp_path)})
+        assert process.stderr is not None
+        try:
+            if number is signal.SIGHUP:
+                assert "discovery" in await line(process, "read again")
+                await line(process, "serves on")
+                process.send_signal(signal.SIGTERM)
+            assert await process.wait() == 0
+            assert b"serves on" not in await process.stderr.read()
+        finally:
+            if process.returncode is None:
+                process.kill()
+
+    run(body())
