Retries: a keyed repeat says until when it may be written, as its connection may come up late

Found by reading: `Job.may_send` judges the time at which a repeat is decided, but `_connect` and the pause of `_place` write it up to 0.26 s later; the backends drop a repeat only within the class's window after the attempt before. A repeat decided in the last quarter second of it (1.5 s here) took effect twice. Ruled out: a margin of the connect time-out in the module, which would lose repeats that have a connection. Design: `Send.within` names the time that is left; the pool writes it within that or ends the attempt as one that could not connect, and keeps the connection. Lines at fault: `Gateway._send`, `Backends._connect`.

--- a/mulleinhall/interface.py
+++ b/mulleinhall/interface.py
@@ -251,9 +251,12 @@
 
 @dataclass(frozen=True, slots=True)
 class Send:
+    """`within`: it is written in that time or not at all; 0 for no such limit."""
+
     id: str
     backend: str
     timeout: float = 0.0
+    within: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/mulleinhall/logic.py
+++ b/mulleinhall/logic.py
@@ -78,8 +78,8 @@
     def __init__(self, plan: api.Plan, now: float, thin: bool) -> None:
         self.fill, self.cap, self.thin = plan.rate, plan.burst, thin
         self.life = FRESH * plan.burst / plan.rate if plan.rate else 1.0
-        self.base, self.own = plan.burst, 0.0  # the level when last told, and what was used here since
-        self.rate = 0.0  # units/s the others use as told
+        # The level when last told, what was used here since, and the units/s that the others use as told.
+        self.base, self.own, self.rate = plan.burst, 0.0, 0.0
         self.at, self.told_at = now, -1e18
 
     def fresh(self, now: float) -> bool:
@@ -128,8 +128,7 @@
         self.unreported, self.used = 0.0, 0.0
         self.name, self.name_start, self.mine, self.others = -1, now, 0.0, 0.0
         self.owes_since = now  # since when the count has stood in debt whenever it was told
-        self.whole_name = -1  # the count that the whole ceiling follows
-        self.asked_at = -1e18  # when the counter call that is out was made
+        self.whole_name, self.asked_at = -1, -1e18  # what the whole ceiling follows; when it asked last
         self.held: list[Job] = []
         self.odds = 1.0  # share of its questions answered with room
 
@@ -267,8 +266,7 @@
         self.wait = BUSY  # mean answer time as a share of the aim
         self.limit, self.cut_at, self.was_cut = START_LIMIT, now, False
         self.failures, self.unreachable, self.retry_at, self.heard_at = 0, False, now, now
-        self.budget = Bucket(0.0, 1.0, level, now)
-        self.turned = 0  # requests in a row that it turned away
+        self.budget, self.turned = Bucket(0.0, 1.0, level, now), 0  # the last: turned away in a row
 
     def cold(self, now: float, settings: api.Settings) -> bool:
         return self.info.started > 0.0 and now < self.info.started + settings.cold_time
@@ -699,6 +697,8 @@
                 self.untold[job.customer.key] = job.customer
                 job.customer.take(now, job, job.counted > 0 or job.stood_for)
                 job.counted = 0.0
+        # Danger: a repeat that is written late, as its connection came up late, is none to the backend.
+        within = min((at + job.cls.window - now for _, at in job.maybe if job.cls.window), default=0.0)
         number = len(job.tries)
         job.tries.append((server, now))
         job.out[number] = server
@@ -715,7 +715,7 @@
         again = job.cls.semantics is not api.Semantics.UNSAFE and len(job.tries) < self.settings.max_attempts
         if again and early < wait / 2 and self.retries.level >= 1:
             wait = early
-        self.actions.append(api.Send(job.id, server.info.id, max(wait, 1e-6)))
+        self.actions.append(api.Send(job.id, server.info.id, max(wait, 1e-6), within))
         return True
 
     def _finish(self, now: float, job: Job) -> None:
--- a/mulleinhall/net/backends.py
+++ b/mulleinhall/net/backends.py
@@ -30,17 +30,20 @@
 KNOWN_LOADS = frozenset(LOADS.values())
 LOCAL_ERRORS = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL)
 SWEEP = 1.0  # s between looks for idle connections
+ON_THE_WAY = 0.01  # s that a command may take to its backend, some zones further than the attempt before
 
 
 class Attempt:
     """One attempt at one backend, from the module's `Send` to its outcome."""
 
-    __slots__ = ("backend", "connection", "deadline", "ended", "number", "parts", "request", "sent", "timer")
+    __slots__ = ("backend", "connection", "deadline", "ended", "latest", "number", "parts", "request", "sent",
+                 "timer")
 
     def __init__(self, request: str, number: int, backend: str, sent: float, deadline: float,
-                 parts: tuple[bytes, bytes, bytes]) -> None:
+                 parts: tuple[bytes, bytes, bytes], latest: float = inf) -> None:
         self.request, self.number, self.backend, self.sent = request, number, backend, sent
         self.deadline, self.parts = deadline, parts
+        self.latest = latest  # after that it must not be written any more
         self.connection: Connection | None = None
         self.timer: asyncio.TimerHandle | None = None
         self.ended = False
@@ -267,7 +270,7 @@
             return
         connection = self._settled(target)
         if connection is not None:
-            self._write(connection, attempt)
+            self._use(connection, attempt)
             return
         if patient and target.idle:
             self.loop.call_later(SETTLED, self._place, target, attempt, False)
@@ -334,6 +337,14 @@
             attempt.connection.close()
         self.end(attempt, outcome)
 
+    def _use(self, connection: Connection, attempt: Attempt) -> None:
+        if self.clock() + ON_THE_WAY < attempt.latest:
+            self._write(connection, attempt)
+        else:
+            # Guards against a repeat that comes when the backends no more know the attempt before.
+            self.release(connection)
+            self.end(attempt, Outcome.CONNECT_FAILED)
+
     def _write(self, connection: Connection, attempt: Attempt) -> None:
         assert connection.transport is not None
         attempt.connection, connection.attempt = connection, attempt
@@ -373,7 +384,7 @@
             connection.close()
             self.end(attempt, Outcome.CONNECT_FAILED)
         else:
-            self._write(connection, attempt)
+            self._use(connection, attempt)
 
     def release(self, connection: Connection) -> None:
         """The connection is free: the next attempt takes the one that was used last."""
--- a/mulleinhall/net/ingress.py
+++ b/mulleinhall/net/ingress.py
@@ -8,7 +8,7 @@
 import random
 from collections import deque
 from dataclasses import replace
-from math import ceil
+from math import ceil, inf
 
 import mulleinhall.interface as api
 from mulleinhall.logic import Gateway
@@ -307,6 +307,7 @@
         last = request.deadline - LAST_MARGIN
         attempt = request.out = Attempt(
             request.key, number, action.backend, now,
-            min(last, now + action.timeout) if action.timeout else last, request.command.parts())
+            min(last, now + action.timeout) if action.timeout else last, request.command.parts(),
+            now + action.within if action.within else inf)
         self.attempts[request.key, number] = attempt
         self.backends.start(attempt)
--- a/tests/test_net_backends.py
+++ b/tests/test_net_backends.py
@@ -6,6 +6,7 @@
 import errno
 import socket
 import struct
+from math import inf
 from typing import Any
 
 import pytest
@@ -34,9 +35,10 @@
     def ended(self, attempt: Attempt, outcome: Outcome, answer: bytes | None, load: dict[str, float]) -> None:
         self.ends.append((attempt.number, outcome, answer))
 
-    def send(self, name: str = "s0", wait: float = 5.0, parts: tuple[bytes, bytes, bytes] = PARTS) -> Attempt:
+    def send(self, name: str = "s0", wait: float = 5.0, parts: tuple[bytes, bytes, bytes] = PARTS,
+             within: float = inf) -> Attempt:
         now = self.pool.clock()
-        attempt = Attempt("r", self.count, name, now, now + wait, parts)
+        attempt = Attempt("r", self.count, name, now, now + wait, parts, now + within)
         self.count += 1
         self.pool.start(attempt)
         return attempt
@@ -558,3 +560,24 @@
             assert connection.idle_since == now
 
     run(body())
+
+
+@pytest.mark.parametrize("fresh", [True, False])
+def test_a_repeat_whose_connection_comes_too_late_is_not_written(fresh: bool) -> None:
+    """The backends drop a repeat for a while only: later it would take effect a second time."""
+    async def body() -> None:
+        async with backend() as peer:
+            pool, now = Pool(peer.address), 100.0
+            pool.pool.clock = lambda: now
+            if not fresh:
+                pool.send()
+                assert (await pool.end())[0] is Outcome.OK  # the connection has to settle
+            pool.send(within=1.0)
+            now += 0.995  # it comes up, or has settled, just then
+            assert await pool.end(2 - fresh) == (Outcome.CONNECT_FAILED, None)
+            now += 1.0
+            pool.send(within=1.0)  # nothing wrong with the connection
+            assert (await pool.end(3 - fresh))[0] is Outcome.OK
+            assert len(peer.commands) == 2 - fresh and peer.connections == 1
+
+    run(body())
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -72,6 +72,23 @@
     assert not job.may_send(server, 100.0 + KEYED.window, SETTINGS)
 
 
+@pytest.mark.parametrize(("outcome", "left"), [(Outcome.RESET, KEYED.window - 0.5), (Outcome.FULL, 0.0)])
+def test_a_keyed_repeat_says_until_when_it_may_be_written(outcome: Outcome, left: float) -> None:
+    """What is decided in the window may wait for a connection until the backends have forgotten the key."""
+    play = Play()
+    [sent] = sends(play.ask(request_class="order"))
+    assert sent.within == 0.0
+    [again] = sends(play.end(sent, outcome, 0.5))
+    assert again.within == pytest.approx(left)
+
+
+def test_a_safe_repeat_may_be_written_at_any_time() -> None:
+    play = Play()
+    [sent] = sends(play.ask())
+    [again] = sends(play.end(sent, Outcome.RESET, 0.5))
+    assert again.within == 0.0
+
+
 def test_no_second_copy_where_it_is_not_allowed() -> None:
     assert not job_after(SAFE, None).may_send(Server(FLEET[1], 100.0), 100.1, SETTINGS)
 
