Retries: a repeat that is too late to be written is no fault of its backend

Found by reading again: it ended as a refused connection, for which the module ejects the backend for a second. It is moot now, which never ran and blames nobody. Line at fault: `Backends._use`.

--- a/mulleinhall/net/backends.py
+++ b/mulleinhall/net/backends.py
@@ -341,9 +341,10 @@
         if self.clock() + ON_THE_WAY < attempt.latest:
             self._write(connection, attempt)
         else:
-            # Guards against a repeat that comes when the backends no more know the attempt before.
+            # Guards against a repeat that comes when the backends no more know the attempt before.  That is
+            # no fault of this backend.
             self.release(connection)
-            self.end(attempt, Outcome.CONNECT_FAILED)
+            self.end(attempt, Outcome.MOOT)
 
     def _write(self, connection: Connection, attempt: Attempt) -> None:
         assert connection.transport is not None
