Test of a client that leaves: hold its connection in the loop, not by a full backlog

The test now lets the real connection come up by an event, and is stricter: the next request must be all that the backend ever got. It fails without the withdrawal in Ingress._over.

--- a/tests/peers.py
+++ b/tests/peers.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import socket
 from collections.abc import Awaitable, Callable, Coroutine
 from typing import Any, Self
 
@@ -28,6 +29,20 @@
         await asyncio.sleep(0.002)
 
 
+class Late:
+    """The running loop, but the connections that it makes come up only once `up` is set."""
+
+    def __init__(self) -> None:
+        self.loop, self.up = asyncio.get_running_loop(), asyncio.Event()
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self.loop, name)
+
+    async def sock_connect(self, sock: socket.socket, address: Address) -> None:
+        await self.up.wait()
+        await self.loop.sock_connect(sock, address)
+
+
 class Peer:
     """A server; `script` plays each of its connections, given the connection's number."""
 
--- a/tests/test_net_ingress.py
+++ b/tests/test_net_ingress.py
@@ -20,8 +20,8 @@
 from mulleinhall.net.config import Config
 from mulleinhall.net.ingress import Ingress
 from tests.peers import (
-    SETTINGS,
     Caller,
+    Late,
     Peer,
     Reader,
     Writer,
@@ -242,41 +242,25 @@
 def test_what_waits_for_a_connection_is_not_sent_on_once_its_client_has_left() -> None:
     """The client leaves while the connection to the backend comes up: it is not written when it is up."""
     async def body() -> None:
-        loop = asyncio.get_running_loop()
-        with socket.socket() as server:
-            server.bind(("127.0.0.1", 0))
-            server.listen(0)
-            server.setblocking(False)
-            crowd = [socket.socket() for _ in range(4)]  # the queue is full: further ones wait
-            for sock in crowd:
-                sock.setblocking(False)
-                sock.connect_ex(server.getsockname())
-            patient = SETTINGS | {"limits": SETTINGS["limits"] | {"connect-timeout-s": 15.0}}
-            async with serving(config(entry(server.getsockname()), settings=patient)) as (served, address):
-                stub = Stub(send)
-                served.gateway = stub  # type: ignore[assignment]
-                caller = await Caller.to(address)
-                caller.writer.write(command(d=4000))
-                await until(lambda: served.backends.sockets)
-                caller.writer.close()
-                await until(lambda: stub.of(api.Abandoned))
-                [ended] = stub.of(api.AttemptEnded)
-                assert ended.outcome is api.Outcome.MOOT and ended.finished
-                assert not served.open and not served.attempts
-                accepted = [(await loop.sock_accept(server))[0] for _ in range(2)]
-                for sock in crowd:
-                    sock.close()
-                [target] = served.backends.targets.values()
-                while not target.idle:  # it has come up, and may carry another request
-                    accepted.append((await loop.sock_accept(server))[0])
-                    await asyncio.sleep(0)
-                assert len(stub.of(api.AttemptEnded)) == 1
-                here = target.idle[0].sock.getsockname()
-                [other] = [sock for sock in accepted if sock.getpeername() == here]
-                with pytest.raises(BlockingIOError):
-                    other.recv(1)
-                for sock in accepted:
-                    sock.close()
+        async with backend() as peer, serving(config(entry(peer.address))) as (served, address):
+            stub = Stub(send)
+            served.gateway = stub  # type: ignore[assignment]
+            served.backends.loop = late = Late()  # type: ignore[assignment]
+            caller = await Caller.to(address)
+            caller.writer.write(command("00000000000000aa"))
+            await until(lambda: served.backends.sockets)
+            caller.writer.close()
+            await until(lambda: stub.of(api.Abandoned))
+            [ended] = stub.of(api.AttemptEnded)
+            assert ended.outcome is api.Outcome.MOOT and ended.finished
+            assert not served.open and not served.attempts and peer.connections == 0
+            late.up.set()
+            [target] = served.backends.targets.values()
+            await until(lambda: target.idle)
+            other = await Caller.to(address)
+            assert await other.ask(command("00000000000000bb")) == b"00000000000000bb"
+            assert [words[2] for words in peer.commands] == [b"00000000000000bb"] and peer.connections == 1
+            assert len(stub.of(api.AttemptEnded)) == 2
 
     run(body())
 
