Admission: what comes back soon is asked about or refused; most at stake is asked first

The customer's own odds could not tell: four in five such sends came from gateways that never had a word of that customer, and _doubtful is true for any thin slice, full or not. Lines at fault: Gateway._likely, _ask (its chance), _decide (the level of a fresh word). Design: unasked, a thin customer's request goes out only if its slice could have filled by it since the customer last came; the counter is asked first of what has most worth to lose; a fresh word must leave half a burst for what is not asked about, as far as the counter is crowded. The customer's own odds go, as they decide nothing any more.

--- a/mulleinhall/logic.py
+++ b/mulleinhall/logic.py
@@ -22,7 +22,7 @@
 EXACT, INEXACT = 0.1, 0.25  # bursts that a count may pass its ends by; the second where it is crowded
 LEAST_TOLD = 0.125  # bursts of use that the counter is told without a question: less can wait for one
 KEPT = 0.5  # of what a used up quota leaves of a ceiling: lent at once; some is sent beyond quotas
-OWN = 0.3  # weight of the last answer in a customer's own odds: two refusals in a row are word enough
+UNSURE = 0.5  # bursts that the totals of a counter are off by where hardly anything is asked
 DOUBT = 0.2  # of a request's units: a slice that holds less makes it doubtful
 LASTS = 10.0  # time-outs that a count has stood in debt before the debt is written off
 ASK_LESS, ASK_MORE = 0.2, 0.02  # of the questions: fewer after one that failed, more after a quick answer
@@ -72,8 +72,7 @@
     """What is known of one customer's store when the use of the other gateways is counted in.
 
     Danger: a customer gathered on few gateways is refused while its other slices sit full.  Told use
-    (counter, peers) is taken off a copy of the whole store, which is believed only for a while.
-    """
+    (counter, peers) is taken off a copy of the whole store, which is believed only for a while."""
 
     def __init__(self, plan: api.Plan, now: float, thin: bool) -> None:
         self.fill, self.cap, self.thin = plan.rate, plan.burst, thin
@@ -110,7 +109,7 @@
     def __init__(self, event: api.Request, plan: api.Plan, now: float, age: float, can_learn: bool,
                  most: float) -> None:
         self.key, spread, self.first = event.customer, event.spread, event.first
-        self.plan, self.spread, self.hash, self.seen = plan, max(1, spread), crc32(self.key.encode()), now
+        self.plan, self.spread, self.hash, self.seen = plan, max(1, spread), crc32(self.key.encode()), -1e18
         share, burst = plan.rate / self.spread, plan.burst / self.spread
         # A slice under the largest request holds none: it is asked about first, and what cannot be asked
         # is sent where that pays on the mean.
@@ -130,7 +129,6 @@
         self.owes_since = now  # since when the count has stood in debt whenever it was told
         self.whole_name, self.asked_at = -1, -1e18  # what the whole ceiling follows; when it asked last
         self.held: list[Job] = []
-        self.odds = 1.0  # share of its questions answered with room
 
     def resize(self, now: float, event: api.Request) -> None:
         """Danger: a customer given other gateways must not get its buckets anew: it would pass a ceiling."""
@@ -174,9 +172,7 @@
 
     def under_ceiling(self, now: float, units: float) -> bool:
         """Whether the slice of the ceiling holds the units, or the whole does by word that just came.
-
-        Danger: others send what their quota's slice holds before they tell of it; that much stays unlent.
-        """
+        Danger: others send what their quota's slice holds before they tell of it; that much stays unlent."""
         if self.ceiling.fits(now, units):
             return True
         untold = (self.spread - 1) * LEAST_TOLD * self.plan.burst - self.plan.ceiling_slack / 2
@@ -189,10 +185,8 @@
 
     def told_ceiling(self, now: float, born: float, others: float, used: float, lost: bool) -> None:
         """The others' share of the count is `others` by now, and `used` was sent on from here in its time.
-
         Danger: a count may have been lost, or be new, so it proves nothing of the time before it began: by
-        then the store is thought to hold what is left by a used up quota.
-        """
+        then the store is thought to hold what is left by a used up quota."""
         self.whole.fits(now, 0.0)
         if self.whole_name == self.name and not lost:
             self.whole.level -= max(0.0, others - self.others)
@@ -224,6 +218,7 @@
         self.counted = 0.0  # units that a call to the counter has added for it
         self.stood_for = False  # others' questions tell the counter of it as well
         self.over, self.repeat = False, event.repeat
+        self.soon = plan.rate > 0 and now - customer.seen < event.units / customer.slice.rate  # to fill
         self.late = False  # it cannot be answered within its aim any more
         self.tries: list[tuple[Server, float]] = []  # backend and time of each attempt, in order
         self.out: dict[int, Server] = {}
@@ -380,10 +375,8 @@
         prefers those that come next after its place, half a subset.  Places are at equal distances, so that
         all backends are preferred by equally many.  Danger: without that some are preferred by three times
         as many as others, and jam while those stand idle.  Two rings: with one, gateways that share a
-        backend would share most of the others too.
-
-        Danger: this is done at each change of the list, by hundreds of gateways: sorting the pairs of all
-        gateways with all backends kept each from its requests just then."""
+        backend would share most of the others too.  Danger: sorting all pairs of gateways and backends at
+        each change of the list kept each from its requests just then."""
         if self.shared == (shared := {s.info.id for s in self.present}):
             return
         self.shared, count = shared, len(self.present)
@@ -548,6 +541,7 @@
         self.period = PEER_PERIOD if self.counting else self.period
         self.answered_at = -1e18  # when the counter last answered
         self.ask_share = 0.5  # of the questions that go to the counter
+        self.stake = 0.0  # what a request may cost beyond its quota, on the mean
         self.odds = {p.name: 0.5 for p in settings.plans}  # share of the questions answered with room
         self.first_wait: dict[str, float] = {}  # how long clients wait for a first try, by class
         self.untold: dict[str, Customer] = {}  # customers with use that the counter was not told
@@ -603,8 +597,8 @@
             age = now - (self.born or 0.0)
             customer = Customer(event, plan, now, age, self.counting, self.settings.most_units)
             self.customers[event.customer] = self.by_hash[customer.hash] = customer
-        customer.seen = now
         job = self.jobs[event.id] = Job(event, cls, plan, customer, now)
+        customer.seen = now
         # Danger: clients that come again too late take what others could use in time.  What a marked repeat
         # has left tells when it began, unless its wait is cut to that of a first try.
         if not event.repeat:
@@ -635,9 +629,8 @@
         return job.plan.ceiling_rate > 0 and not job.customer.ceiling.fits(now, job.units)
 
     def _doubtful(self, job: Job) -> bool:
-        """Danger: few questions reach a crowded counter, and what goes unasked is mostly let in.  A customer
-        that comes back before its slice has filled is likelier than others to be beyond its quota, and a
-        repeat, which was refused just now, more likely so than not."""
+        """Whether its slice holds next to nothing of it: it is likelier than others to be beyond its quota,
+        and a repeat, which was refused just now, more likely so than not."""
         return job.customer.slice.level < DOUBT * job.units
 
     def _pays(self, plan: api.Plan) -> bool:
@@ -645,11 +638,9 @@
         return self.odds[plan.name] > plan.over_cost / (1 + plan.over_cost)
 
     def _likely(self, job: Job) -> bool:
-        """Whether a request that is not asked about pays on the mean, by the odds of its plan and its own.
-        Danger: the plan's are good where most keep to their quota; one that floods through all gateways is
-        beyond its own at each of them."""
-        own = job.customer.odds > job.plan.over_cost / (1 + job.plan.over_cost)
-        return own and self._pays(job.plan) and not (job.repeat and self._doubtful(job))
+        """Whether a request that is not asked about pays on the mean.  Danger: the plan's odds are good where
+        most keep to their quota.  One that floods through all gateways comes back soon at each of them."""
+        return self._pays(job.plan) and not job.soon and not (job.repeat and self._doubtful(job))
 
     def _known(self, now: float, customer: Customer) -> bool:
         """Whether there is fresh word of the customer's use: a told total, or word from each sibling."""
@@ -667,8 +658,10 @@
         if not plan.rate:
             inside = True
         elif self._known(now, customer):
-            # An asked total holds this request's units already; what was taken since is off the copy.
-            inside = customer.elsewhere.level(now) >= job.units
+            # An asked total holds this request's units already; what was taken since is off the copy.  A
+            # crowded counter learns late of what it is not asked about: its totals are off by that.
+            unsure = UNSURE * (1 - self.ask_share) if customer.thin and not job.counted else 0.0
+            inside = customer.elsewhere.level(now) >= job.units + unsure * plan.burst
         else:
             inside, known = customer.slice_fits(now, job.units), customer.elsewhere
             if not inside and customer.thin and now - self.answered_at < EPOCH / 3:  # crowded, not dead
@@ -731,11 +724,8 @@
             self.actions.append(api.Fail(job.id))
 
     def _uncount(self, now: float, job: Job) -> None:
-        """Units that were counted but not sent on are given back.
-
-        Danger: a customer far beyond its quota would be refused all of it, if what is refused were to drain
-        the count as well: hardly anything is let in that way.
-        """
+        """Units that were counted but not sent on are given back.  Danger: if what is refused drained the
+        count as well, a customer far beyond its quota would be refused nearly all of it."""
         if job.counted:
             job.customer.unreported -= job.counted
             self.untold[job.customer.key] = job.customer
@@ -788,16 +778,14 @@
 
     def _ask(self, now: float, customer: Customer, job: Job | None = None) -> bool:
         """Adds this gateway's use to the customer's count and asks for the total; False: not now.
-
         Danger: two gateways that ask at once are told of the same room.  The units of a request that
-        waits for the answer are counted with the call, so that the later call sees the earlier one.
-        """
+        waits for the answer are counted with the call, so that the later call sees the earlier one."""
         if not self.counting:
             return False
         if customer.asked_at > -1e17:
             return job is not None
         short = job is not None and self._short(now, job)  # refused for certain unless it asks
-        chance = min(1.0, self.ask_share * (2.0 if job and self._doubtful(job) else 1.0))
+        chance = self._chance(job) if job else 1.0
         if job and not short and self.rng.random() >= chance:
             job.stood_for = customer.thin and self._pays(job.plan)
             return False
@@ -818,6 +806,15 @@
         self.actions.append(api.Count(name, round(customer.unreported, 3), 2 * EPOCH))
         return True
 
+    def _chance(self, job: Job) -> float:
+        """How likely it is asked about.  Danger: a crowded counter bears few questions, and a few requests
+        hold most of what may be lost: what has more at stake goes first, and so does what is doubtful."""
+        stake = job.plan.over_cost * job.plan.price * job.cls.worth * job.units
+        self.stake += (stake - self.stake) * (SMOOTH / 4 if self.stake else 1.0)
+        share = self.ask_share * (2.0 if self._doubtful(job) else 1.0)
+        part = self.ask_share + (1 - self.ask_share) * stake / max(self.stake, 1e-9)
+        return min(1.0, max(LEAST_ASKED, share * part))
+
     def _counted(self, now: float, event: api.CounterReply) -> None:
         customer, added = self.asked.pop(event.name, (None, 0.0))
         if customer is None:
@@ -852,7 +849,6 @@
             for job in customer.held:
                 inside = known.level(now) >= job.units
                 self.odds[plan.name] += SMOOTH / 4 * (inside - self.odds[plan.name])
-                customer.odds += OWN * (inside - customer.odds)
             customer.others = max(others, 0.0)
         held, customer.held = customer.held, []
         for job in held:
