Clients: close none whose answer still goes out; take in what waits behind an aborted one

Found by reading again, each with a test on real connections that fails without the fix: - end_if_quiet closed a connection while part of the answer before was still here and less than would choke the client. To close is to read no more: a request that came meanwhile was lost, and the reset over its bytes cut the answer; - _accept gave up at the first connection that left before it was taken (ECONNABORTED): while draining the listener was closed over those behind it, a reset for each. Also a list whose weights are all 0 made cold_ok divide by nothing, and each request failed. Ruled out: waiting for the buffer by a timer, since look comes back to the connection; a fault in Listing or read_config (each key of a configuration replaced by 14 kinds of nonsense: all were told by name or skipped). Lines at fault: Client.end_if_quiet, Clients._accept, Fleet.cold_ok.

--- a/mulleinhall/logic.py
+++ b/mulleinhall/logic.py
@@ -424,7 +424,7 @@
         if not server.preferred:
             return False
         warm = sum(x.info.weight for x in self.present if not x.cold(now, s))
-        if warm >= MIN_ELIGIBLE * sum(x.info.weight for x in self.present):
+        if warm >= max(1e-6, MIN_ELIGIBLE * sum(x.info.weight for x in self.present)):
             self.typical = self.done / warm  # when most are cold, what was typical before still holds
         share = s.cold_share + (1 - s.cold_share) * (now - server.info.started) / max(s.cold_time, 1e-6)
         typical = self.typical * server.info.weight * s.gateways / server.holders
--- a/mulleinhall/net/clients.py
+++ b/mulleinhall/net/clients.py
@@ -288,9 +288,11 @@
             return False
 
     def end_if_quiet(self) -> None:
-        """Closes once what was written has gone out.  Guards requests that are half here, or here and unread:
-        a close would lose them, and be a reset, which may take the answer before them along."""
-        if self.transport is not None and not (self.slots or self.rest or self.unread()):
+        """Closes, unless something is to come.  Guards requests that are half here, or here and unread: a
+        close would lose them, and be a reset, which may take the answer before them along.  While an answer
+        goes out it reads no more, so that one is not closed either; `look` comes back to it."""
+        if self.transport is not None and not (self.slots or self.rest or self.unread()
+                                               or self.transport.get_write_buffer_size()):
             self.transport.close()
 
     def look(self, now: float) -> None:
@@ -399,9 +401,10 @@
             except BlockingIOError:
                 return False
             except OSError as error:
-                if error.errno != errno.ECONNABORTED:
-                    self.shortage("accept", error)
-                    self._wait()
+                if error.errno == errno.ECONNABORTED:
+                    continue  # this one left before it was taken; others may wait behind it
+                self.shortage("accept", error)
+                self._wait()
                 return False
             sock.setblocking(False)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
--- a/tests/test_net_crossings.py
+++ b/tests/test_net_crossings.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import socket
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
+from typing import Any
 
 import pytest
 
@@ -123,6 +125,34 @@
     run(body())
 
 
+def test_a_request_that_comes_while_the_answer_before_goes_out_is_served_while_the_program_ends() -> None:
+    """To close then is to read no more: the request would be lost, and its reset cut the answer."""
+    size = 8 << 20
+
+    async def body() -> None:
+        async with backend() as peer, serving(config(entry(peer.address))) as (served, address):
+            served.gateway = Stub(send)  # type: ignore[assignment]
+            sock = socket.socket()
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            sock.connect(address)
+            sock.sendall(resp(b"PING"))
+            [client] = await connected(served, 1)
+            await until(lambda: client in served.clients.idle)
+            assert client.transport
+            client.transport.set_write_buffer_limits(2 * size)  # less waits than would hold the client back
+            client.transport.write(b"+" + b"v" * size + b"\r\n")  # as a long answer that goes out
+            served.clients.drain()
+            sock.sendall(command("late"))
+            sock.setblocking(False)
+            loop, got = asyncio.get_running_loop(), b""
+            while more := await loop.sock_recv(sock, 1 << 20):
+                got += more
+            assert len(got) > size and got.endswith(b"v\r\n$4\r\nlate\r\n")
+            sock.close()
+
+    run(body())
+
+
 def test_that_a_client_far_ahead_has_left_is_seen_and_the_rest_not_sent_on(
         monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(clients, "MOST_PIPELINED", 4)
@@ -166,6 +196,35 @@
     run(body())
 
 
+def test_connections_behind_one_that_left_before_it_was_taken_are_served_as_the_listener_closes() -> None:
+    class Listener:
+        """The listener, but the connection that comes first has left as it is taken."""
+
+        def __init__(self, sock: socket.socket) -> None:
+            self.sock, self.aborted = sock, False
+
+        def __getattr__(self, name: str) -> Any:
+            return getattr(self.sock, name)
+
+        def accept(self) -> Any:
+            if not self.aborted:
+                self.aborted = True
+                raise OSError(errno.ECONNABORTED, "aborted")
+            return self.sock.accept()
+
+    async def body() -> None:
+        async with backend() as peer, serving(config(entry(peer.address))) as (served, address):
+            served.clients.listener = Listener(served.clients.listener)  # type: ignore[assignment]
+            sock = socket.create_connection(address)
+            sock.sendall(command("behind"))
+            served.clients.drain()
+            sock.setblocking(False)
+            assert await asyncio.get_running_loop().sock_recv(sock, 1000) == b"$6\r\nbehind\r\n"
+            sock.close()
+
+    run(body())
+
+
 async def connected(served: Ingress, count: int) -> list[clients.Client]:
     await until(lambda: len([c for c in served.clients.connections if c.transport]) == count)
     return list(served.clients.connections)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -180,6 +180,14 @@
     assert 1 <= len(times) <= 6 * SETTINGS.fall_factor * SETTINGS.cold_share
 
 
+def test_a_list_without_any_weight_fails_no_request() -> None:
+    play = Play(fleet=(Backend("cold", started=100.0, weight=0.0), Backend("warm", weight=0.0)))
+    for _ in range(10):
+        for sent in sends(play.ask(1.0)):
+            play.end(sent, Outcome.OK, 0.01)
+    assert {sent.backend for sent in sends(play.actions)} == {"cold", "warm"}
+
+
 CAPPED = Plan("basic", rate=2.0, burst=4.0, ceiling_rate=4.0, ceiling_burst=8.0, ceiling_slack=1.0)
 
 
