Count: what was used up under its last name is carried over as a count begins anew

Traces of its first sends beside the true store: the same customer draws some 48 within 1.2 s, and the store falls to 8 to 24. Lines at fault: Gateway._ask and _counted: a new name starts at 0, so the whole quota was there again, for all gateways at once, and with it what their ceilings' slices hold. Design: the first answer under a new name is held against what is still fresh of the store; where the count has more, the difference is added to it, so that the others see it too. The new test fails without it, with one gateway and with two.

--- a/mulleinhall/logic.py
+++ b/mulleinhall/logic.py
@@ -124,7 +124,7 @@
         self.whole = Bucket(plan.ceiling_rate, plan.ceiling_burst, filled, now)
         self.open, self.open_limit = 0, max(1, int(plan.open_limit / self.spread))
         self.elsewhere = Elsewhere(plan, now, self.thin)
-        self.unreported, self.used = 0.0, 0.0
+        self.unreported, self.used, self.renewed = 0.0, 0.0, False  # the last: its count begins anew
         self.name, self.name_start, self.mine, self.others = -1, now, 0.0, 0.0
         self.owes_since = now  # since when the count has stood in debt whenever it was told
         self.whole_name, self.asked_at = -1, -1e18  # what the whole ceiling follows; when it asked last
@@ -290,9 +290,8 @@
         return now - max(self.heard_at, next(iter(self.out.values()))) if self.out else 0.0
 
     def failed(self, now: float, outcome: api.Outcome, patience: float) -> None:
-        """Danger: a dead or stuck backend looks idle and draws all traffic.  Covers refused and broken
-        connections at the first sign, errors and time-outs when they come in a row; each further
-        failure doubles the pause, and one attempt then tries it again."""
+        """Danger: a dead or stuck backend looks idle and draws all traffic.  Covers refused connections at
+        the first sign, errors and time-outs in a row; each further one doubles the pause before a new try."""
         if outcome is api.Outcome.FULL:
             # One that answers others quickly means this request, not its load.  Danger: one that drains, as
             # the list tells late, answers nobody any more, looks idle and draws all traffic.
@@ -313,8 +312,7 @@
         return now < self.retry_at or bool(self.out)
 
     def load(self, now: float, mean: float, patience: float, zone: str, chance: float) -> float:
-        """What it is thought to hold for its size.  Danger: gateways that each hold next to nothing would
-        all choose the same largest backend; with `chance` exponential, idle ones are chosen by size."""
+        """What it is thought to hold for its size; with `chance` exponential, idle ones go by size."""
         pace: float = 1.0 + (self.pace - 1.0) * 0.5 ** ((now - self.pace_at) / (3 * patience))
         pace = max(pace, self.silent(now) / max(mean, 1e-6) / 3.0, 0.2)
         return (len(self.out) + chance) * pace / max(self.info.weight, 1e-6) * (
@@ -372,11 +370,10 @@
 
     def _share_out(self) -> None:
         """Which backends each gateway prefers, and so how many share each backend.  In each of two rings it
-        prefers those that come next after its place, half a subset.  Places are at equal distances, so that
-        all backends are preferred by equally many.  Danger: without that some are preferred by three times
-        as many as others, and jam while those stand idle.  Two rings: with one, gateways that share a
-        backend would share most of the others too.  Danger: sorting all pairs of gateways and backends at
-        each change of the list kept each from its requests just then."""
+        prefers those that come next after its place, half a subset.  Places are at equal distances.  Danger:
+        else some backends are preferred by three times as many as others, and jam.  Two rings: with one,
+        gateways that share a backend would share most of the others too.  Danger: sorting all pairs of
+        gateways and backends at each change of the list kept each from its requests just then."""
         if self.shared == (shared := {s.info.id for s in self.present}):
             return
         self.shared, count = shared, len(self.present)
@@ -415,9 +412,8 @@
         return self.mean(job.cls) * len(means) / sum(means) * job.units / max(self.units, 1e-6)
 
     def cold_ok(self, server: Server, now: float, job: Job) -> bool:
-        """Danger: a cold backend that all gateways fill at once falls over and stays down.  Each
-        gateway that prefers it keeps its own part: what backends carry when warm, by what a cold one bears,
-        over as many as share it.  A part of what all gateways together send would never reach it."""
+        """Danger: a cold backend that all gateways fill at once falls over and stays down.  Each that prefers
+        it has a part: what backends carry when warm, by what a cold one bears, over as many as share it."""
         s = self.settings
         if not server.cold(now, s):
             return True
@@ -434,9 +430,8 @@
         return free and server.budget.fits(now, work, max(1.0, work))
 
     def wait(self, now: float) -> float:
-        """The mean time attempts stay out, in aims, by Little's law: the mean number out over the rate of
-        sends.  Tells of a jam before any answer comes, and from few attempts; forgets when nothing is sent.
-        An attempt counts no longer than JAM: a few backends that never answer are no jam."""
+        """The mean time attempts stay out, in aims, by Little's law: the number out over the rate of sends.
+        Tells of a jam before any answer.  An attempt counts up to JAM: a few that never end are none."""
         while self.held and next(iter(self.held.values()))[0] < now:
             del self.held[next(iter(self.held))]
         keep = exp(-min(now - self.wait_at, 100 * RECENT) / RECENT)
@@ -799,7 +794,7 @@
         name = customer.hash << 24 | index & 0xFFFFFF
         if name != customer.name:
             customer.name, customer.name_start = name, (index - offset) * EPOCH
-            customer.mine = customer.others = 0.0
+            customer.mine, customer.others, customer.renewed = 0.0, 0.0, True
         customer.asked_at = now
         self.untold.pop(customer.key, None)
         self.asked[name] = customer, customer.unreported
@@ -838,7 +833,12 @@
             waiting = sum(job.units for job in customer.held if job.counted)
             used = event.total + customer.unreported - waiting
             level = plan.burst + plan.rate * (now - customer.name_start) - used
-            # Others take back what they asked for and refused: only a fall by more means a lost count.
+            if customer.renewed and known.fresh(now):
+                # Danger: a count that begins anew holds all of a store that was used up under its last name.
+                gone = max(0.0, level - max(0.0, known.level(now)))
+                customer.unreported, level = customer.unreported + gone, level - gone
+            customer.renewed = False
+            # Others take back what they asked for and refused: a fall by more means a lost count.
             lost = others < customer.others - self.settings.most_units * customer.spread
             if plan.ceiling_rate:
                 sent = customer.mine + customer.unreported - sum(job.counted for job in customer.held)
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -218,6 +218,37 @@
     assert ask(fills * 1.01, "flood")  # it has ebbed away
 
 
+@pytest.mark.parametrize("gateways", [1, 2])
+def test_a_count_that_begins_anew_does_not_fill_the_store(gateways: int) -> None:
+    """A ceiling was passed in a burst that went on as the count of the next 30 s began."""
+    plays = [Play(replace(COUNTING, number=n)) for n in range(gateways)]
+    totals: dict[int, float] = {}
+    begins = (4.0 - crc32(b"c") % 1000 / 1000) * 30.0  # of the count under the next name
+    for play in plays:
+        play.now = play.gateway.born = begins - 4.0
+
+    def ask(play: Play) -> int:
+        done = play.ask(0.01)
+        sent = sends(done)
+        while calls := [action for action in done if isinstance(action, Count)]:
+            done = []
+            for call in calls:
+                totals[call.name] = totals.get(call.name, 0.0) + call.add
+                done += play.at(0.001, CounterReply(call.name, Outcome.OK, totals[call.name], 0.001))
+            sent += sends(done)
+        for send in sent:
+            play.end(send, Outcome.OK, 0.001)
+        return len(sent)
+
+    sent = {False: 0, True: 0}
+    while plays[0].now < begins + 1.0:
+        for play in plays:
+            sent[play.now > begins] += ask(play)
+    assert len(totals) == 2
+    assert sent[False] >= BASIC.burst
+    assert sent[True] <= BASIC.rate * 1.0 + 2
+
+
 def test_use_is_told_each_quarter_second_however_many_gateways() -> None:
     assert Play(THIN).gateway.period == 0.25
 
