--- /dev/null
+++ b/scale/errors.py
@@ -0,0 +1,5 @@
+"""The errors that end a command with one line on stderr and exit code 2."""
+
+
+class ScaleError(Exception):
+    """Something that the user can put right, told in one line."""
--- /dev/null
+++ b/scale/slopes/__init__.py
@@ -0,0 +1,1 @@
+"""Sweeps: the decision module alone, measured in child processes at many sizes."""
