--- /dev/null
+++ b/scale/report/__init__.py
@@ -0,0 +1,1 @@
+"""Reads saved results, fits their growth, plots it and renders the capacity page."""
--- /dev/null
+++ b/scale/report/measures.py
@@ -0,0 +1,60 @@
+"""What each measure is called on the page, its unit, and the sweeps in which it is shown there."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class Measure:
+    """A measure as the page shows it."""
+
+    text: str
+    unit: str
+    sweeps: tuple[str, ...] = ()
+
+
+ALL = ("backends", "ingresses", "tenants", "services", "changes_per_s", "requests_per_s")
+LISTS = ("backends", "ingresses", "services")
+LOAD = ("ingresses", "tenants", "requests_per_s")
+
+MEASURES = {
+    "request_cpu_p50_us": Measure("processor time of a request, median", "µs", ALL),
+    "request_cpu_p99_us": Measure("processor time of a request, 99 in 100", "µs", ALL),
+    "change_cpu_us": Measure("processor time of a list change, median", "µs", (*LISTS, "changes_per_s")),
+    "change_cpu_p99_us": Measure("processor time of a list change, 99 in 100", "µs", LISTS),
+    "change_bytes": Measure("bytes of a list change", "B", ("backends",)),
+    "list_bytes": Measure("bytes of a whole list", "B", ("backends", "services")),
+    "list_read_cpu_ms": Measure("processor time to read a whole list", "ms", LISTS),
+    "list_apply_cpu_ms": Measure("processor time to apply a whole list", "ms", LISTS),
+    "start_cpu_ms": Measure("processor time to create the module", "ms", ("backends", "ingresses")),
+    "memory_per_backend_bytes": Measure("memory for a backend", "B", ("backends",)),
+    "memory_per_tenant_bytes": Measure("memory for a tenant", "B", ("tenants",)),
+    "memory_per_open_request_bytes": Measure("memory for an open request", "B", ("requests_per_s",)),
+    "resident_mb": Measure("resident memory", "MB", ("backends", "ingresses", "tenants")),
+    "counter_calls_per_request": Measure("counter calls for a request", "", LOAD),
+    "counter_calls_per_s_fleet": Measure("counter calls of the whole fleet", "/s", ("ingresses",)),
+    "counter_wait_share": Measure("requests that wait for the counter, share", "", LOAD),
+    "counter_wait_p50_ms": Measure("wait for the counter, median", "ms", LOAD),
+    "counter_wait_p99_ms": Measure("wait for the counter, 99 in 100", "ms", LOAD),
+    "counter_unanswered_share": Measure("counter calls without an answer in time, share", "", LOAD),
+    "discovery_calls_per_s": Measure("calls at discovery", "/s", ("ingresses", "changes_per_s")),
+    "control_bytes_per_s": Measure("control traffic of an ingress", "B/s", ("backends", "changes_per_s")),
+    "control_cpu_share": Measure("share of a core for control", "", ("backends", "changes_per_s")),
+    "change_acted_p50_s": Measure("from a change until an ingress acts, median", "s"),
+    "change_acted_p99_s": Measure("from a change until an ingress acts, 99 in 100", "s"),
+    "change_acted_max_s": Measure("from a change until every ingress acts", "s"),
+    "served_share": Measure("served, share", ""),
+    "refused_share": Measure("refused, share", ""),
+    "failed_share": Measure("failed, share", ""),
+    "real_request_cpu_us": Measure("processor time of a request, real ingress", "µs"),
+    "real_control_cpu_share": Measure("share of a core for control, real ingress", ""),
+    "real_resident_mb": Measure("resident memory, real ingress", "MB"),
+    "added_latency_p50_ms": Measure("added to a request, median", "ms"),
+    "added_latency_p99_ms": Measure("added to a request, 99 in 100", "ms"),
+}
+
+
+def describe(name: str) -> Measure:
+    """The measure of that name; one that the page does not know is shown by its name."""
+    return MEASURES.get(name, Measure(name.replace("_", " "), ""))
--- /dev/null
+++ b/scale/report/versions.py
@@ -0,0 +1,107 @@
+"""Picks, out of all results, the runs of each sweep before and after a change, and the runs of scenarios."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from pathlib import Path
+
+from scale.report.fits import Growth, fit
+from scale.results import Result, load
+
+ORDER_FILE = "commits.txt"  # commits, oldest first, one a line; commits that it leaves out come after it
+
+
+@dataclass(frozen=True, slots=True)
+class Saved:
+    """A result and the name of its file."""
+
+    file: str
+    result: Result
+
+    @property
+    def version(self) -> str:
+        """The commit as it is shown."""
+        return self.result.commit[:7] + (" with uncommitted changes" if self.result.dirty else "")
+
+    def growth(self, measure: str) -> Growth | None:
+        """The fits of a measure over the swept dimension; None if there are too few points."""
+        dimension = self.result.name
+        return fit(
+            [
+                (point.sizes[dimension], point.measures[measure])
+                for point in self.result.points
+                if dimension in point.sizes and measure in point.measures
+            ]
+        )
+
+    def measures(self) -> list[str]:
+        """The names of all measures, sorted."""
+        return sorted({name for point in self.result.points for name in point.measures})
+
+
+@dataclass(frozen=True, slots=True)
+class Sweep:
+    """The runs of one sweep on the oldest and on the newest commit; one run alone is `after`."""
+
+    dimension: str
+    after: Saved
+    before: Saved | None = None
+
+    def runs(self) -> dict[str, Saved]:
+        """The runs by "before" and "after", the older one first."""
+        return ({} if self.before is None else {"before": self.before}) | {"after": self.after}
+
+
+@dataclass(frozen=True, slots=True)
+class Picked:
+    """What the page and the plots are made of."""
+
+    sweeps: dict[str, Sweep] = field(default_factory=dict)
+    scenarios: dict[str, Saved] = field(default_factory=dict)
+
+
+def read_saved(folder: Path) -> list[Saved]:
+    """All results of a folder, the oldest first."""
+    saved = [Saved(path.name, load(path)) for path in sorted(folder.glob("*.json"))]
+    return sorted(saved, key=lambda each: (each.result.taken_at, each.file))
+
+
+def read_order(folder: Path) -> list[str]:
+    """The commits that the order file names, oldest first; none if there is no such file."""
+    path = folder / ORDER_FILE
+    if not path.exists():
+        return []
+    return [
+        line.split()[0]
+        for line in path.read_text(encoding="utf-8").splitlines()
+        if line.strip() and not line.startswith("#")
+    ]
+
+
+def _rank(commit: str, order: list[str]) -> int:
+    """The place of a commit in the order."""
+    return next((at for at, named in enumerate(order) if commit.startswith(named)), len(order))
+
+
+def _by_commit(saved: Iterable[Saved], order: list[str]) -> list[Saved]:
+    """The newest run of each commit.  Commits stand as the order says, then by their first run."""
+    newest: dict[str, Saved] = {}
+    for each in saved:
+        newest[each.result.commit] = each
+    return sorted(newest.values(), key=lambda each: _rank(each.result.commit, order))
+
+
+def pick(saved: list[Saved], order: list[str]) -> Picked:
+    """The oldest and the newest commit's run of each sweep, and the newest commit's of each scenario."""
+    groups: dict[tuple[str, str], list[Saved]] = {}
+    for each in saved:
+        groups.setdefault((each.result.kind, each.result.name), []).append(each)
+    sweeps, scenarios = {}, {}
+    for (kind, name), group in sorted(groups.items()):
+        runs = _by_commit(group, order)
+        if kind == "run":
+            scenarios[name] = runs[-1]
+        else:
+            sweeps[name] = Sweep(name, runs[-1], runs[0] if len(runs) > 1 else None)
+    return Picked(sweeps, scenarios)
