Add scale run: stand-ins, hollow and real ingresses, scenarios

Cause: how the costs of an ingress grow with its fleet could only be seen at the size that was started. Change: stand-ins for the agent, the counter, backends and clients; hollow ingresses (the decision module with its control traffic) in worker processes; real ingresses by the deploy file's run; a scenario in TOML with churn, a lost zone, restarts, silent discovery and configuration changes; a budget that refuses what the machine can't bear; exit code 1 unless each request got exactly one final answer.

--- /dev/null
+++ b/scale/budget.py
@@ -0,0 +1,104 @@
+"""What a run needs of the machine, and the refusal to start where that would not do."""
+
+from __future__ import annotations
+
+import resource
+import subprocess
+import sys
+from dataclasses import dataclass
+from pathlib import Path
+
+import psutil
+
+from scale.errors import ScaleError
+from scale.scenario import Scenario
+
+TOOL_ROOT = Path(__file__).resolve().parent.parent
+MIB, GIB = 2**20, 2**30
+MOST_MEMORY = 12 * GIB  # of all processes of a run together
+MOST_PROCESSES = 200
+MEMORY_SHARE = 0.8  # of what is available now: the rest is left to others
+RUNNER, WORKER, SERVER, REAL = 120 * MIB, 70 * MIB, 80 * MIB, 80 * MIB  # bytes of a process itself
+TENANT, LISTENER = 2000, 8192  # bytes of a tenant at one ingress, of a backend that listens
+SPARE_FILES = 64  # descriptors of a process that are no peer's
+COUNTER_LINKS = 8  # connections to the counter that one ingress may hold
+REQUESTS_PER_LINK = 5  # a second: an ingress with more of them opens a further connection to the counter
+REAL_CONNECTIONS = 300  # to backends that one real ingress may hold
+MOST_LISTENERS = 4000  # backends beyond these share listeners
+PROBE_TIMEOUT = 120.0  # s
+
+
+class NotEnough(ScaleError):
+    """The machine can't bear the run; the text says what is missing."""
+
+
+@dataclass(frozen=True, slots=True)
+class Need:
+    """What a run takes: bytes, processes, and the most descriptors of one process."""
+
+    memory: int
+    processes: int
+    files: int
+
+
+@dataclass(frozen=True, slots=True)
+class Machine:
+    """What the machine offers a run."""
+
+    memory: int
+    files: int
+
+    @classmethod
+    def here(cls) -> Machine:
+        """This machine as it is now."""
+        return cls(psutil.virtual_memory().available, resource.getrlimit(resource.RLIMIT_NOFILE)[0])
+
+
+def listeners_of(scenario: Scenario) -> int:
+    """How many listeners the backends have: none where no real ingress connects to them."""
+    return min(scenario.sizes.backends, MOST_LISTENERS) if scenario.sizes.real else 0
+
+
+def estimate(scenario: Scenario, hollow_bytes: int) -> Need:
+    """The need of a scenario, given the measured bytes of one hollow ingress with its list."""
+    sizes, listeners = scenario.sizes, listeners_of(scenario)
+    spread = max(plan.spread for plan in scenario.plans)
+    tenants = min(sizes.tenants * spread / sizes.ingresses,
+                  sizes.requests_per_s * scenario.duration_s + 1)
+    hollow = sizes.hollow * round(hollow_bytes + tenants * TENANT)
+    servers = 2 if sizes.real else 0
+    workers = min(sizes.workers, sizes.hollow)
+    memory = (RUNNER + workers * WORKER + hollow + servers * SERVER + listeners * LISTENER
+              + sizes.real * (REAL + sizes.backends * 2 * 1024))
+    each = -(-sizes.hollow // workers) if workers else 0
+    links = 1 + min(COUNTER_LINKS, 1 + round(sizes.requests_per_s / REQUESTS_PER_LINK))
+    backend_files = listeners + sizes.real * REAL_CONNECTIONS
+    files = SPARE_FILES + max(sizes.ingresses * links, each * links, backend_files)
+    return Need(memory, 1 + workers + servers + sizes.real, files)
+
+
+def check(need: Need, machine: Machine) -> None:
+    """NotEnough if the machine can't bear the need, naming both figures."""
+    if need.memory > MOST_MEMORY:
+        raise NotEnough(f"memory: about {need.memory / GIB:.1f} GiB are needed, a run may take "
+                        f"{MOST_MEMORY / GIB:.0f} GiB; lower sizes.hollow or sizes.backends")
+    if need.memory > MEMORY_SHARE * machine.memory:
+        raise NotEnough(f"memory: about {need.memory / GIB:.1f} GiB are needed, "
+                        f"{machine.memory / GIB:.1f} GiB are available")
+    if need.processes > MOST_PROCESSES:
+        raise NotEnough(f"processes: {need.processes} are needed, a run may have {MOST_PROCESSES}")
+    if need.files > machine.files:
+        raise NotEnough(f"descriptors: {need.files} are needed in one process, the limit is {machine.files}")
+
+
+def measure_hollow_bytes(scenario_path: Path, project: Path) -> int:
+    """The memory of one hollow ingress of the project, measured in a process of its own."""
+    module, arguments = "scale.experiment.memory_probe", [str(project), str(scenario_path.resolve())]
+    command = [sys.executable, "-m", module, *arguments]
+    try:
+        done = subprocess.run(command, cwd=TOOL_ROOT, capture_output=True, text=True, timeout=PROBE_TIMEOUT,
+                              check=True)
+        return int(done.stdout)
+    except (subprocess.SubprocessError, ValueError) as error:
+        detail = (getattr(error, "stderr", "") or str(error)).strip().splitlines()[-1:]
+        raise NotEnough(f"the memory of one hollow ingress can't be measured: {' '.join(detail)}") from None
--- /dev/null
+++ b/scale/commands/run.py
@@ -0,0 +1,65 @@
+"""`scale run`: plays one scenario, real ingresses beside hollow ones, and saves what was measured."""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+from pathlib import Path
+
+import click
+import uvloop
+
+from scale import budget
+from scale.errors import ScaleError
+from scale.experiment.runner import Options, play
+from scale.real import run_command
+from scale.results import Result, save
+from scale.scenario import Scenario, load_scenario
+
+VIOLATIONS = ("lost", "duplicated", "wrong")
+VIOLATED, INTERRUPTED = 1, 130  # exit codes
+SLACK = 180.0  # s of a run beside its phases, and more for each ingress that starts
+START_EACH = 0.3  # s
+
+
+def _play(options: Options, limit: float) -> Result:
+    try:
+        return uvloop.run(play(options, limit))
+    except (KeyboardInterrupt, asyncio.CancelledError):
+        click.echo("interrupted: all processes of the run were ended", err=True)
+        sys.exit(INTERRUPTED)
+
+
+def _measured(scenario: Scenario, project: Path, command: str, limit: float) -> Result:
+    length = scenario.idle_s + scenario.duration_s
+    with click.progressbar(length=round(length * 1000), label=scenario.name, file=sys.stderr) as bar:
+        options = Options(scenario, project, command, lambda seconds: bar.update(round(seconds * 1000)))
+        return _play(options, limit)
+
+
+@click.command()
+@click.argument("scenario_path", metavar="SCENARIO.toml", type=click.Path(path_type=Path, dir_okay=False))
+@click.option("--project", type=click.Path(path_type=Path, exists=True, file_okay=False),
+              default=budget.TOOL_ROOT, help="The checkout that is measured.")
+@click.option("--results", type=click.Path(path_type=Path, file_okay=False),
+              default=budget.TOOL_ROOT / "scale" / "results", help="The folder of the result.")
+@click.option("--real-command", help="In place of the `run` of the project's deploy file.")
+def command(scenario_path: Path, project: Path, results: Path, real_command: str | None) -> None:
+    """Plays one scenario and saves its result."""
+    scenario = load_scenario(scenario_path)
+    project = project.resolve()
+    if not (project / "mulleinhall").is_dir():
+        raise ScaleError("--project: there is no package `mulleinhall` in it")
+    started = real_command or (run_command(project) if scenario.sizes.real else "")
+    hollow_bytes = budget.measure_hollow_bytes(scenario_path, project) if scenario.sizes.hollow else 0
+    budget.check(budget.estimate(scenario, hollow_bytes), budget.Machine.here())
+    limit = scenario.idle_s + scenario.duration_s + SLACK + START_EACH * scenario.sizes.ingresses
+    result = _measured(scenario, project, started, limit)
+    click.echo(f"saved {save(result, results).name}")
+    measures = result.points[0].measures
+    for name in sorted(measures):
+        click.echo(f"{name} {measures[name]:g}")
+    broken = [name for name in VIOLATIONS if measures[name]]
+    if broken:
+        click.echo(f"error: not exactly one final answer for each request: {', '.join(broken)}", err=True)
+        sys.exit(VIOLATED)
--- /dev/null
+++ b/scale/experiment/__init__.py
@@ -0,0 +1,1 @@
+"""One run of a scenario: the processes, the timeline of events, and the measures."""
--- /dev/null
+++ b/scale/experiment/clients_process.py
@@ -0,0 +1,60 @@
+"""The process of all clients of the real ingresses."""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+from dataclasses import asdict
+
+from scale.experiment.messages import (
+    ClientRestarting,
+    ClientsReport,
+    Finish,
+    Load,
+    PauseClient,
+    Ready,
+    StartClients,
+)
+from scale.experiment.pipe import commands, run_child, send
+from scale.standins.clients import ANSWER_SLACK, Client, ClientCounts
+from scale.standins.histograms import Times
+
+SEED_STEP = 7919  # between the seeds of two ingresses
+
+
+async def serve() -> None:
+    """Plays clients as the runner commands."""
+    clients: dict[int, Client] = {}
+    limit = 0.0
+    async for message in commands():
+        match message:
+            case StartClients():
+                limit = max(c.deadline_s for c in message.scenario.classes) + ANSWER_SLACK
+                for number, address in enumerate(message.addresses, message.first_number):
+                    seed = message.scenario.seed + SEED_STEP * number
+                    clients[number] = Client(message.scenario, number, address, seed)
+                send(Ready())
+            case Load():
+                for client in clients.values():
+                    client.start()
+            case PauseClient():
+                clients[message.ingress].pause(message.paused)
+            case ClientRestarting():
+                clients[message.ingress].restarting = message.restarting
+            case Finish():
+                await asyncio.gather(*(client.finish(limit) for client in clients.values()))
+                send(_report(list(clients.values())))
+                break
+
+
+def _report(clients: list[Client]) -> ClientsReport:
+    counts, latency, added = ClientCounts(), Times(), Times()
+    for client in clients:
+        counts.add(client.counts)
+        latency.add_encoded(client.latency.encode())
+        added.add_encoded(client.added.encode())
+    return ClientsReport(counts=asdict(counts), latency=latency.encode(), added=added.encode())
+
+
+if __name__ == "__main__":
+    sys.exit(run_child(serve))
--- /dev/null
+++ b/scale/hollow.py
@@ -0,0 +1,421 @@
+"""Hollow ingresses: the decision module with its control traffic, but without client or backend sockets.
+
+Requests come from a seeded generator, answers of backends after the scenario's latency.  The watch on the
+agent and the calls to the counter are real, over loopback.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import math
+import random
+import time
+from collections import Counter as Tally
+from collections import deque
+from contextlib import suppress
+from dataclasses import dataclass, field
+from typing import Any
+
+import mulleinhall.interface as api
+from mulleinhall.logic import Gateway
+from mulleinhall.net.clock import unix_clock
+from mulleinhall.net.counter import Counter
+from mulleinhall.net.discovery import Discovery
+from mulleinhall.wire import read_settings
+from scale.experiment.messages import HollowReport, Life, StartHollow
+from scale.experiment.settings import settings_of
+from scale.scenario import Scenario
+from scale.standins.backends import window_of
+from scale.standins.histograms import Times
+from scale.standins.traffic import Mix, RequestDraw
+
+MARGIN = 0.02  # s before the client's time is up: when the module's time is up, as in a real ingress
+LAG_PERIOD = 0.05  # s between two samples of a worker's lag
+DRAIN_SLACK = 2.0  # s beyond the longest deadline: what is unanswered then is lost
+SEED_STEP = 104_729  # between the seeds of two ingresses
+LIFE_STEP = 15_485_863  # between the seeds of two lives of one ingress
+
+
+@dataclass(slots=True)
+class World:
+    """What all hollow ingresses of a worker share: the backends as they are, and what is counted."""
+
+    scenario: Scenario
+    zones: dict[str, str] = field(default_factory=dict)
+    started: dict[str, float] = field(default_factory=dict)
+    gone: set[str] = field(default_factory=set)
+    silent_zones: set[str] = field(default_factory=set)
+    counts: Tally[str] = field(default_factory=Tally)
+    cold_units: dict[str, dict[int, float]] = field(default_factory=dict)
+    request_cpu: Times = field(default_factory=Times)
+    change_cpu: Times = field(default_factory=Times)
+    counter_wait: Times = field(default_factory=Times)
+    worker_lag: Times = field(default_factory=Times)
+
+    def learn(self, backends: tuple[api.Backend, ...]) -> None:
+        """Takes in list entries."""
+        for backend in backends:
+            self.zones[backend.id] = backend.zone
+            self.started[backend.id] = backend.started
+            if backend.readiness is api.Readiness.GONE:
+                self.gone.add(backend.id)
+            else:
+                self.gone.discard(backend.id)
+
+    def note_send(self, backend: str, units: float, now: float) -> None:
+        """Counts the load of a cold backend."""
+        started = self.started.get(backend, 0.0)
+        if started and now < started + self.scenario.backend.cold_s:
+            windows = self.cold_units.setdefault(f"{backend}@{started:.3f}", {})
+            window = window_of(now)
+            windows[window] = windows.get(window, 0.0) + units
+
+    def unreachable(self, backend: str) -> bool:
+        """Whether a connection to it is refused."""
+        return backend in self.gone or backend not in self.zones
+
+    def silent(self, backend: str) -> bool:
+        """Whether it answers nothing."""
+        return self.zones.get(backend, "") in self.silent_zones
+
+
+class Attempt:
+    """An attempt that is out."""
+
+    __slots__ = ("backend", "number", "sent", "timeout", "timer")
+
+    def __init__(self, number: int, backend: str, sent: float, timeout: float) -> None:
+        self.number, self.backend, self.sent, self.timeout = number, backend, sent, timeout
+        self.timer: asyncio.TimerHandle | None = None
+
+
+class OpenRequest:
+    """A request without a final answer."""
+
+    __slots__ = ("arrived", "attempt", "attempts", "cpu", "decided", "units")
+
+    def __init__(self, arrived: float, units: float) -> None:
+        self.arrived, self.units = arrived, units
+        self.attempt: Attempt | None = None
+        self.attempts, self.cpu, self.decided = 0, 0.0, False
+
+
+class HollowIngress:
+    """One life of one hollow ingress."""
+
+    def __init__(self, world: World, number: int, life: int, start: StartHollow, settings: api.Settings,
+                 known: api.BackendsChanged) -> None:
+        scenario = world.scenario
+        self.world, self.number, self.settings, self.known = world, number, settings, known
+        self.loop, self.clock = asyncio.get_running_loop(), unix_clock()
+        self.rng = random.Random(scenario.seed + SEED_STEP * number + LIFE_STEP * life)
+        self.mix = Mix(scenario, number, self.rng)
+        self.gateway = Gateway(settings, self.rng.getrandbits(63))
+        self.agent = start.agent
+        self.counter = Counter(start.counter, settings.counter_timeout, self.clock, self._counter_replied)
+        self.classes = {cls.name: cls for cls in settings.classes}
+        self.life = Life(number=number, born=time.monotonic())
+        self.requests: dict[str, OpenRequest] = {}
+        self.answered: set[str] = set()  # requests whose final answer is given, while the module may act
+        self.count, self.over = 0, False
+        self.events: deque[api.Event] = deque()
+        self.running = False
+        self.arriving: OpenRequest | None = None  # its `Request` event is being handled
+        self.watch: asyncio.Task[None] | None = None
+        self.arrival: asyncio.TimerHandle | None = None
+
+    def start(self) -> None:
+        """Hands the known list to the module and begins to watch discovery."""
+        self.feed(self.known)
+        discovery = Discovery(self.agent, self._listed, self.rng, self.known.version,
+                              not self.settings.ask_discovery)
+        self.watch = self.loop.create_task(discovery.run())
+
+    def load(self) -> None:
+        """Requests begin to arrive."""
+        if self.world.scenario.sizes.requests_per_s > 0:
+            self._next_arrival(self.loop.time())
+
+    def stop_load(self) -> None:
+        """No further request arrives."""
+        if self.arrival is not None:
+            self.arrival.cancel()
+            self.arrival = None
+
+    async def stop(self) -> None:
+        """Ends: what is open is cut off, as by a crash."""
+        self.over = True
+        self.life.ended = time.monotonic()
+        self.stop_load()
+        self.world.counts["cut"] += len(self.requests)
+        for request in self.requests.values():
+            if request.attempt is not None and request.attempt.timer is not None:
+                request.attempt.timer.cancel()
+        self.requests.clear()
+        self.counter.close()
+        if self.watch is not None:
+            self.watch.cancel()
+            with suppress(asyncio.CancelledError):
+                await self.watch
+
+    # Requests
+
+    def _next_arrival(self, after: float) -> None:
+        at = after + self.rng.expovariate(self.world.scenario.sizes.requests_per_s)
+        self.arrival = self.loop.call_at(at, self._arrive, at)
+
+    def _arrive(self, at: float) -> None:
+        self._next_arrival(at)
+        draw = self.mix.draw()
+        self.count += 1
+        key = str(self.count)
+        self.requests[key] = OpenRequest(time.monotonic(), draw.units)
+        self.world.counts["requests"] += 1
+        deadline = draw.request_class.deadline_s
+        self.loop.call_later(deadline, self._deadline, key)
+        self.feed(self._request(key, draw, deadline - min(MARGIN, deadline / 10)))
+
+    def _request(self, key: str, draw: RequestDraw, time_left: float) -> api.Request:
+        return api.Request(
+            key, draw.request_class.name, draw.plan.name, draw.customer, time_left, float(draw.units),
+            draw.plan.spread, draw.first, write=draw.request_class.semantics != "safe")
+
+    def _deadline(self, key: str) -> None:
+        """The ingress answers what the module has left open, as a real one does."""
+        if key in self.requests:
+            self._final(key, "forced")
+            self.feed(api.Abandoned(key))
+        self.loop.call_later(DRAIN_SLACK, self.answered.discard, key)
+
+    def _final(self, key: str, outcome: str) -> None:
+        request = self.requests.pop(key, None)
+        if request is None:
+            if key in self.answered:
+                self.world.counts["duplicated"] += 1
+            return
+        self._decided(request)
+        self.answered.add(key)
+        self.world.counts[outcome] += 1
+        self.world.request_cpu.record(request.cpu)
+        if request.attempt is not None and request.attempt.timer is not None:
+            request.attempt.timer.cancel()
+
+    def _decided(self, request: OpenRequest) -> None:
+        """The first attempt or final answer.  One that does not come at once has waited for the counter."""
+        if request.decided:
+            return
+        request.decided = True
+        if request is not self.arriving:
+            self.world.counts["waited"] += 1
+            self.world.counter_wait.record(time.monotonic() - request.arrived)
+
+    # Events and actions of the module
+
+    def feed(self, event: api.Event) -> None:
+        """Hands an event to the module; one that comes up meanwhile waits for its turn."""
+        self.events.append(event)
+        if self.running:
+            return
+        self.running = True
+        try:
+            while self.events and not self.over:
+                self._handle(self.events.popleft())
+        finally:
+            self.running = False
+
+    def _handle(self, event: api.Event) -> None:
+        key = getattr(event, "id", "")
+        request = self.requests.get(key)
+        before = time.thread_time()
+        actions = list(self.gateway.handle(self.clock(), event))
+        spent = time.thread_time() - before
+        if isinstance(event, api.BackendsChanged) and event.kind is api.ListKind.UPDATE:
+            self.world.change_cpu.record(spent)
+        if request is not None:
+            request.cpu += spent
+        self.arriving = request if isinstance(event, api.Request) else None
+        finished = isinstance(event, api.AttemptEnded) and event.finished
+        if finished and request is not None:
+            self._final(key, "served")
+        for action in actions:
+            self._do(action)
+        self.arriving = None
+
+    def _do(self, action: api.Action) -> None:
+        match action:
+            case api.Send():
+                self._send(action)
+            case api.Refuse(id=key):
+                self._final(key, "refused")
+            case api.Fail(id=key):
+                self._final(key, "failed")
+            case api.SetTimer(delay=delay, token=token):
+                self.loop.call_later(max(0.0, delay), self.feed, api.Timer(token))
+            case api.Count(name=name, add=add, lifetime=lifetime):
+                self.world.counts["counter_calls"] += 1
+                self.counter.call(name, add, lifetime)
+            case api.Cancel(id=key, attempt=number):
+                request = self.requests.get(key)
+                if request is not None and request.attempt is not None and request.attempt.number == number:
+                    self._cancel(key, request)
+
+    def _send(self, action: api.Send) -> None:
+        request = self.requests.get(action.id)
+        if request is None or request.attempts >= self.settings.max_attempts:
+            number = 0 if request is None else request.attempts
+            self.feed(api.AttemptEnded(action.id, number, action.backend, api.Outcome.MOOT,
+                                       finished=request is None))
+            return
+        self._decided(request)
+        if request.attempt is not None:
+            self._cancel(action.id, request)
+        attempt = Attempt(request.attempts, action.backend, time.monotonic(), action.timeout)
+        request.attempt, request.attempts = attempt, request.attempts + 1
+        self.world.counts["sends"] += 1
+        if self.world.unreachable(action.backend):
+            attempt.timer = self.loop.call_later(0.0, self._end, action.id, attempt,
+                                                 api.Outcome.CONNECT_FAILED)
+            return
+        self.world.note_send(action.backend, request.units, self.clock())
+        backend = self.world.scenario.backend
+        latency = self.rng.lognormvariate(math.log(backend.latency_ms / 1000), backend.latency_sigma)
+        if self.world.silent(action.backend) or latency > attempt.timeout:
+            attempt.timer = self.loop.call_later(attempt.timeout, self._end, action.id, attempt,
+                                                 api.Outcome.TIMEOUT)
+        else:
+            attempt.timer = self.loop.call_later(latency, self._answer, action.id, attempt)
+
+    def _answer(self, key: str, attempt: Attempt) -> None:
+        """The backend's answer is due; one that has fallen silent meanwhile gives none."""
+        if self.world.silent(attempt.backend):
+            left = attempt.sent + attempt.timeout - time.monotonic()
+            attempt.timer = self.loop.call_later(max(0.0, left), self._end, key, attempt, api.Outcome.TIMEOUT)
+        else:
+            self._end(key, attempt, api.Outcome.OK)
+
+    def _end(self, key: str, attempt: Attempt, outcome: api.Outcome) -> None:
+        request = self.requests.get(key)
+        if self.over or request is None or request.attempt is not attempt:
+            return
+        request.attempt = None
+        self._feed_end(key, attempt, outcome)
+
+    def _cancel(self, key: str, request: OpenRequest) -> None:
+        attempt, request.attempt = request.attempt, None
+        if attempt is None:
+            return
+        if attempt.timer is not None:
+            attempt.timer.cancel()
+        self._feed_end(key, attempt, api.Outcome.CANCELLED)
+
+    def _feed_end(self, key: str, attempt: Attempt, outcome: api.Outcome) -> None:
+        latency = time.monotonic() - attempt.sent
+        served = outcome is api.Outcome.OK
+        load = {"inflight": 1.0} if served else {}
+        self.feed(api.AttemptEnded(key, attempt.number, attempt.backend, outcome, latency, served, load=load))
+
+    # Control traffic
+
+    def _counter_replied(self, reply: api.CounterReply) -> None:
+        self.world.counts["counter_unanswered"] += reply.outcome is not api.Outcome.OK
+        if not self.over:
+            self.feed(reply)
+
+    def _listed(self, kind: api.ListKind, listing: Any) -> None:
+        """A change of the list: once the module has been given it, it is acted on."""
+        self.world.learn(listing.backends)
+        change = api.BackendsChanged(kind, tuple(listing.backends), listing.version)
+        self.feed(change)
+        self.life.acted.append((listing.version, time.monotonic()))
+
+
+class Worker:
+    """The hollow ingresses of one process."""
+
+    def __init__(self, start: StartHollow) -> None:
+        self.start_message = start
+        self.scenario = start.scenario
+        self.world = World(start.scenario)
+        self.known = read_known(start.known)
+        self.world.learn(self.known.backends)
+        self.settings = {n: read_settings(settings_of(start.scenario, n)) for n in start.numbers}
+        self.loop = asyncio.get_running_loop()
+        self.lives: Tally[int] = Tally()
+        self.finished: list[Life] = []
+        self.ingresses: dict[int, HollowIngress] = {}
+        self.loading = False
+        self.lag_timer: asyncio.TimerHandle | None = None
+
+    async def start(self) -> None:
+        """Creates all ingresses, giving way to the loop between two of them."""
+        for number in self.start_message.numbers:
+            self._create(number)
+            await asyncio.sleep(0)
+
+    def _create(self, number: int) -> None:
+        ingress = HollowIngress(self.world, number, self.lives[number], self.start_message,
+                                self.settings[number], self.known)
+        self.lives[number] += 1
+        self.ingresses[number] = ingress
+        ingress.start()
+        if self.loading:
+            ingress.load()
+
+    def load(self) -> None:
+        """The load begins, and with it the sampling of the worker's lag."""
+        self.loading = True
+        for ingress in self.ingresses.values():
+            ingress.load()
+        self._sample_lag(self.loop.time())
+
+    def _sample_lag(self, due: float) -> None:
+        now = self.loop.time()
+        self.world.worker_lag.record(max(0.0, now - due))
+        at = now + LAG_PERIOD
+        self.lag_timer = self.loop.call_at(at, self._sample_lag, at)
+
+    def silence(self, zone: str, silent: bool) -> None:
+        """The backends of a zone are cut off, or back."""
+        if silent:
+            self.world.silent_zones.add(zone)
+        else:
+            self.world.silent_zones.discard(zone)
+
+    async def restart(self, numbers: list[int]) -> None:
+        """Some ingresses end and start anew, with the list that the fleet had at its start."""
+        for number in numbers:
+            ingress = self.ingresses.pop(number)
+            await ingress.stop()
+            self.finished.append(ingress.life)
+            self._create(number)
+
+    async def finish(self) -> HollowReport:
+        """Waits for the answers that are still out, then ends all ingresses and reports."""
+        for ingress in self.ingresses.values():
+            ingress.stop_load()
+        last = self.loop.time() + max(c.deadline_s for c in self.scenario.classes) + DRAIN_SLACK
+        while any(i.requests for i in self.ingresses.values()) and self.loop.time() < last:
+            await asyncio.sleep(0.02)
+        if self.lag_timer is not None:
+            self.lag_timer.cancel()
+        for ingress in self.ingresses.values():
+            self.world.counts["lost"] += len(ingress.requests)
+            ingress.requests.clear()
+            await ingress.stop()
+            self.finished.append(ingress.life)
+        world = self.world
+        return HollowReport(
+            counts=dict(world.counts), lives=self.finished, cold_units=world.cold_units,
+            request_cpu=world.request_cpu.encode(), change_cpu=world.change_cpu.encode(),
+            counter_wait=world.counter_wait.encode(), worker_lag=world.worker_lag.encode())
+
+
+def read_known(body: str) -> api.BackendsChanged:
+    """A whole list in discovery's form, as the list that an ingress starts with."""
+    source = json.loads(body)
+    backends = tuple(
+        api.Backend(row["id"], row["zone"], row["kind"], row["cell"], api.Readiness(row["state"]),
+                    row["weight"], row["started_ms"] / 1000)
+        for row in source["servers"])
+    return api.BackendsChanged(api.ListKind.RESTORED, backends, source["version"])
--- /dev/null
+++ b/scale/standins/agent.py
@@ -0,0 +1,273 @@
+"""The discovery agent: the list of backends with its history, served over HTTP/1.1 long polls."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import time
+from collections import deque
+from collections.abc import Iterable
+from dataclasses import dataclass
+from enum import Enum
+from typing import Literal, cast
+from urllib.parse import parse_qs, urlsplit
+
+HISTORY = 4096  # changes that are kept: a watch from before them gets the whole list
+LONGEST_HEAD = 8192  # bytes of a request
+MOST_WAIT = 60.0  # s of a watch
+Address = tuple[str, int]
+State = Literal["ready", "draining", "gone"]
+
+
+@dataclass(frozen=True, slots=True)
+class Entry:
+    """One backend as the list shows it."""
+
+    id: str
+    address: Address
+    zone: str
+    state: State = "ready"
+    started_ms: int = 0
+    kind: str = "std"
+    cell: int = 0
+    weight: float = 1.0
+
+    def encode(self) -> str:
+        return json.dumps({
+            "id": self.id, "addr": f"{self.address[0]}:{self.address[1]}", "zone": self.zone,
+            "kind": self.kind, "cell": self.cell, "state": self.state, "weight": self.weight,
+            "started_ms": self.started_ms}, separators=(",", ":"))
+
+
+@dataclass(frozen=True, slots=True)
+class Published:
+    """A change of the list, and the monotonic time at which it was published."""
+
+    version: int
+    at: float
+    entries: tuple[Entry, ...]
+
+
+class Registry:
+    """The list of backends and its recent changes; answers are encoded once for all watchers."""
+
+    def __init__(self, entries: Iterable[Entry] = ()) -> None:
+        self.entries = {entry.id: entry for entry in entries}
+        self.version = 1
+        self.changes: deque[Published] = deque(maxlen=HISTORY)
+        self._encoded: dict[int | None, bytes] = {}
+
+    def publish(self, entries: Iterable[Entry]) -> Published:
+        """Changes some entries; an entry that is gone leaves the list."""
+        change = Published(self.version + 1, time.monotonic(), tuple(entries))
+        self.version = change.version
+        self.changes.append(change)
+        self._encoded.clear()
+        for entry in change.entries:
+            if entry.state == "gone":
+                self.entries.pop(entry.id, None)
+            else:
+                self.entries[entry.id] = entry
+        return change
+
+    def body(self, after: int | None) -> bytes:
+        """The answer to a call: what changed after a version, or the whole list."""
+        first = self.changes[0].version if self.changes else self.version + 1
+        if after is not None and not first - 1 <= after <= self.version:
+            after = None
+        if after not in self._encoded:
+            self._encoded[after] = self._encode(after)
+        return self._encoded[after]
+
+    def _encode(self, after: int | None) -> bytes:
+        if after is None:
+            rows = list(self.entries.values())
+        else:
+            latest: dict[str, Entry] = {}
+            for change in reversed(self.changes):
+                if change.version <= after:
+                    break
+                for entry in reversed(change.entries):
+                    latest.setdefault(entry.id, entry)
+            rows = list(latest.values())
+        full = "true" if after is None else "false"
+        servers = ",".join(row.encode() for row in rows)
+        return f'{{"version":{self.version},"full":{full},"servers":[{servers}]}}'.encode()
+
+
+class AgentMode(Enum):
+    """How the agent treats calls."""
+
+    UP = "up"
+    SILENT = "silent"
+    REFUSING = "refusing"
+
+
+@dataclass(slots=True)
+class AgentCounts:
+    """What one listener of the agent has seen."""
+
+    calls: int = 0
+    whole_lists: int = 0
+    refused: int = 0
+    bytes_in: int = 0
+    bytes_out: int = 0
+
+
+def _response(status: bytes, body: bytes) -> bytes:
+    return (b"HTTP/1.1 %b\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%b"
+            % (status, len(body), body))
+
+
+class Connection(asyncio.Protocol):
+    """One connection: calls come one after another, each is answered before the next is read."""
+
+    def __init__(self, agent: Agent, group: str) -> None:
+        self.agent, self.group = agent, group
+        self.transport: asyncio.Transport | None = None
+        self.buffer = b""
+        self.after: int | None = None
+        self.waiting = False
+        self.timer: asyncio.TimerHandle | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)
+        self.agent.connections.add(self)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._stop_waiting()
+        self.transport = None
+        self.agent.connections.discard(self)
+
+    def data_received(self, data: bytes) -> None:
+        self.agent.counts[self.group].bytes_in += len(data)
+        self.buffer += data
+        if not self.waiting:
+            self._read()
+
+    def _read(self) -> None:
+        while not self.waiting and self.transport is not None:
+            head, found, rest = self.buffer.partition(b"\r\n\r\n")
+            if not found:
+                if len(head) > LONGEST_HEAD:
+                    self.transport.close()
+                return
+            self.buffer = rest
+            self._call(head)
+
+    def _call(self, head: bytes) -> None:
+        try:
+            method, target, _ = head.split(b"\r\n", 1)[0].decode("ascii").split(" ")
+            parts = urlsplit(target)
+            query = {key: int(values[0]) for key, values in parse_qs(parts.query).items()}
+        except ValueError:
+            method, query, parts = "", {}, urlsplit("")
+        if method != "GET" or parts.path != "/api/targets":
+            self._write(_response(b"400 Bad Request", b""))
+            if self.transport is not None:
+                self.transport.close()
+            return
+        self._answer_call(query.get("after"), min(max(query.get("wait_ms", 0) / 1000, 0.0), MOST_WAIT))
+
+    def _answer_call(self, after: int | None, wait: float) -> None:
+        counts = self.agent.counts[self.group]
+        counts.calls += 1
+        if after is not None:
+            self.agent.note_watch(self.group, after)
+        if self.agent.mode is AgentMode.REFUSING:
+            counts.refused += 1
+            self._write(_response(b"503 Service Unavailable", b""))
+            return
+        self.after, self.waiting = after, True
+        if self.agent.mode is AgentMode.SILENT:
+            return
+        if after != self.agent.registry.version or not wait:
+            self.answer()
+        else:
+            self.timer = self.agent.loop.call_later(wait, self.answer)
+
+    def answer(self) -> None:
+        """Answers the call that waits, unless the agent is silent."""
+        if self.transport is None or not self.waiting or self.agent.mode is AgentMode.SILENT:
+            return
+        after = self.after
+        self._stop_waiting()
+        body = self.agent.registry.body(after)
+        if after is None or b'"full":true' in body[:64]:
+            self.agent.counts[self.group].whole_lists += 1
+        self._write(_response(b"200 OK", body))
+        if self.buffer:
+            self.agent.loop.call_soon(self._read)
+
+    def _write(self, data: bytes) -> None:
+        if self.transport is not None:
+            self.transport.write(data)
+            self.agent.counts[self.group].bytes_out += len(data)
+
+    def _stop_waiting(self) -> None:
+        self.waiting = False
+        if self.timer is not None:
+            self.timer.cancel()
+            self.timer = None
+
+
+class Agent:
+    """Serves one registry on any number of listeners; each listener counts for its own group."""
+
+    def __init__(self, registry: Registry) -> None:
+        self.registry, self.mode = registry, AgentMode.UP
+        self.loop = asyncio.get_running_loop()
+        self.connections: set[Connection] = set()
+        self.counts: dict[str, AgentCounts] = {}
+        self.acted: dict[str, list[tuple[int, float]]] = {}
+        self.published: list[Published] = []
+        self._servers: dict[str, asyncio.Server] = {}
+
+    async def listen(self, group: str) -> Address:
+        """Opens the listener of a group on an ephemeral loopback port."""
+        server = await self.loop.create_server(lambda: Connection(self, group), "127.0.0.1", 0, backlog=4096)
+        self._servers[group] = server
+        self.counts.setdefault(group, AgentCounts())
+        self.acted.setdefault(group, [])
+        address: Address = server.sockets[0].getsockname()[:2]
+        return address
+
+    async def move(self, group: str) -> Address:
+        """The group's listener goes elsewhere; connections to the old address are reset."""
+        self._servers.pop(group).close()
+        for connection in [c for c in self.connections if c.group == group]:
+            if connection.transport is not None:
+                connection.transport.abort()
+        return await self.listen(group)
+
+    def note_watch(self, group: str, after: int) -> None:
+        """A watch from a version tells that its ingress has acted on it."""
+        seen = self.acted[group]
+        if not seen or seen[-1][0] != after:
+            seen.append((after, time.monotonic()))
+
+    def publish(self, *entries: Entry) -> Published:
+        """Publishes a change and answers the watches that wait for it."""
+        change = self.registry.publish(entries)
+        self.published.append(change)
+        self._wake()
+        return change
+
+    def set_mode(self, mode: AgentMode) -> None:
+        """Goes down or comes back; what was held meanwhile is answered."""
+        self.mode = mode
+        if mode is AgentMode.UP:
+            self._wake()
+
+    def _wake(self) -> None:
+        for connection in list(self.connections):
+            if connection.waiting and (connection.after != self.registry.version or connection.timer is None):
+                connection.answer()
+
+    def close(self) -> None:
+        """Closes listeners and connections."""
+        for server in self._servers.values():
+            server.close()
+        for connection in list(self.connections):
+            if connection.transport is not None:
+                connection.transport.abort()
