Test the report's fits, choice of runs, figures and the capacity page

Cause: the page is only worth what its arithmetic and its sources are. Change: tests of the fits and of the model on simple numbers, of the page on made-up results, and of the committed page against the committed results. A cost that stays level is held never to pass its limit.

--- a/scale/report/fits.py
+++ b/scale/report/fits.py
@@ -69,8 +69,8 @@
 
     @property
     def grows(self) -> bool:
-        """Whether the cost at the largest size is clearly above that at the smallest."""
-        return self.costs[-1] > self.costs[0] * (1 + FLAT)
+        """Whether the line rises over the measured sizes by more than what rounding leaves."""
+        return self.line.slope * (self.sizes[-1] - self.sizes[0]) > FLAT * max(self.costs)
 
     def estimate(self, size: float) -> Estimate:
         """The cost at a size: between measured points if it lies among them, else by the fits."""
@@ -85,6 +85,8 @@
         crossing = self._crossing(cost)
         if crossing is not None:
             return Estimate(crossing, crossing, crossing, measured=True)
+        if not self.grows:
+            return None
         sizes = [fit.size_for(cost) for fit in (self.line, self.power) if fit is not None]
         beyond = [size for size in sizes if size is not None and size > self.sizes[-1]]
         chosen = self.chosen.size_for(cost)
--- a/scale/report/roles.py
+++ b/scale/report/roles.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from operator import add
 
 from scale.report import model
 from scale.report.constants import Constants
@@ -146,7 +147,7 @@
         size = evidence.at_target("backends", "change_bytes")
         entry = evidence.at_target("backends", "memory_per_backend_bytes")
         start = combine(
-            float.__add__,
+            add,
             evidence.at_target("backends", "list_read_cpu_ms"),
             evidence.together("list_apply_cpu_ms", "backends", "ingresses"),
         )
--- /dev/null
+++ b/tests/scale/test_capacity.py
@@ -0,0 +1,103 @@
+"""The arithmetic of the capacity page, and the page itself: no figure in it without its source."""
+
+from pathlib import Path
+
+import pytest
+
+from scale.report import model
+from scale.report.constants import Constants
+from scale.report.evidence import Evidence
+from scale.report.figures import MISSING, Mark
+from scale.report.limits import Limits
+from scale.report.page import TEMPLATE, BadTemplate, Page, read_picked, render_page
+from scale.report.versions import Picked
+from tests.scale.test_report import OLD, SIZES, write_sweep
+
+ROOT = Path(__file__).resolve().parents[2]
+
+
+def test_the_committed_page_is_what_the_saved_results_give() -> None:
+    page = (ROOT / "docs" / "CAPACITY.md").read_text(encoding="utf-8")
+    assert page == render_page(read_picked(ROOT / "scale" / "results"), ROOT), "run python -m scale report"
+
+
+def test_without_results_no_figure_is_measured() -> None:
+    page = render_page(Picked(), ROOT)
+    marked = [line for line in page.splitlines() if line.startswith("|")]
+    assert not any(f"{Mark.MEASURED}" in line or f"{Mark.EXTRAPOLATED}" in line for line in marked)
+    assert any("not measured" in line and f"{Mark.MISSING}" in line for line in marked)
+
+
+def test_each_measured_row_names_its_file(tmp_path: Path) -> None:
+    path = write_sweep(tmp_path, OLD, 0, [125 * size for size in SIZES], measure="list_bytes")
+    page = render_page(read_picked(tmp_path), ROOT)
+    row = next(line for line in page.splitlines() if "state: the whole list" in line)
+    assert path.name in row and f"{Mark.EXTRAPOLATED}" in row and "25 MB" in row
+
+
+def test_a_limit_gives_out_where_its_cost_passes_it(tmp_path: Path) -> None:
+    write_sweep(tmp_path, OLD, 0, [1000.0 * size for size in SIZES], measure="list_bytes")
+    (tmp_path / "mulleinhall").mkdir()
+    (tmp_path / "mulleinhall" / "lists.py").write_text("MOST_BYTES = 2 * 1000 * 1000\n", encoding="utf-8")
+    limits = Limits(Evidence(read_picked(tmp_path)), Constants(tmp_path)).in_order()
+    limit = next(each for each in limits if each.what == "a whole list in one answer")
+    assert limit.size is not None and limit.size.value == pytest.approx(2000)
+    assert limit.share == pytest.approx(0.01) and "`mulleinhall/lists.py`" in limit.cause
+
+
+def test_limits_stand_in_the_order_in_which_they_give_out(tmp_path: Path) -> None:
+    write_sweep(tmp_path, OLD, 0, [1000.0 * size for size in SIZES], measure="list_bytes")
+    limits = Limits(Evidence(read_picked(tmp_path)), Constants(ROOT)).in_order()
+    shares = [limit.share for limit in limits if not limit.holds]
+    assert shares == sorted(shares)
+
+
+def test_a_constant_that_is_gone_is_not_guessed(tmp_path: Path) -> None:
+    constants = Constants(tmp_path)
+    assert constants.figure("MOST_BYTES") == MISSING
+    assert constants.text("MOST_BYTES") == "`MOST_BYTES` (no longer in the code)"
+
+
+def test_the_template_may_not_ask_for_what_is_not_there() -> None:
+    page = Page(Picked(), Constants(ROOT))
+    for key in ("asked.moons", "nothing.here", "table.other"):
+        with pytest.raises(BadTemplate, match=key):
+            page.render(f"${{{key}}}")
+
+
+def test_the_template_holds_no_measured_figure_of_its_own() -> None:
+    rows = [line for line in TEMPLATE.read_text(encoding="utf-8").splitlines() if line.startswith("|")]
+    assert not any(f"{mark}" in row for row in rows for mark in (Mark.MEASURED, Mark.EXTRAPOLATED))
+
+
+def test_subsets_and_holders() -> None:
+    assert model.fixed_subset(12, 5) == 5
+    assert model.scaled_subset(12, 2, backends=1000, ingresses=10) == 200
+    assert model.scaled_subset(12, 2, backends=60, ingresses=40) == 12
+    assert model.holders_per_backend(200, backends=1000, ingresses=10) == 2
+    assert model.covered_share(12, backends=1000, ingresses=10) == pytest.approx(0.12)
+    assert model.covered_share(200, backends=1000, ingresses=10) == 1
+    assert model.backends_covered(12, ingresses=10) == 120
+
+
+def test_rates_and_shares() -> None:
+    assert model.open_attempts(100, 0.2) == pytest.approx(20)
+    assert model.core_share(100, 50) == pytest.approx(0.005)
+    assert model.allowed_cpu_us(0.01, 100) == pytest.approx(100)
+    assert model.list_changes_per_day(restarts=100, failures=10) == 320
+    assert model.zone_changes_per_s(600) == 10
+    assert model.watch_calls_per_s(10, wait_ms=2000) == 5
+    assert model.watch_calls_per_s(10, wait_ms=2000, changes_per_s=3) == 30
+    assert model.restarts_in_release(600, 0.1) == 1
+    assert model.whole_lists_bytes_per_s(2, 1000, 4) == 500
+
+
+def test_the_counter_and_leases() -> None:
+    assert model.counter_calls_per_s(1000, 0.25) == 250
+    assert model.shards_needed(250, 100) == 3
+    assert model.shards_needed(0, 100) == 1
+    assert model.requests_carried(500, 0.25) == 2000
+    assert model.lease_renewals_per_s(100, busy_share=0.5, busy_term_s=2, calm_term_s=20) == pytest.approx(55)
+    assert model.batches_per_s(10, 5, 0.5) == 100
+    assert model.call_time_ms(1, 1.5) == 4
+    assert model.colliding_pairs(2, bits=1) == 0.5
