--- a/scale/commands/report.py
+++ b/scale/commands/report.py
@@ -11,10 +11,10 @@
 
 from scale.report.evidence import Evidence
 from scale.report.measures import describe
-from scale.report.page import read_picked, render_page
+from scale.report.page import VERSIONS, read_picked, render_page
 from scale.report.plots import plot_all
 from scale.report.tables import describe_growth
-from scale.report.targets import DIMENSIONS
+from scale.report.versions import Sweep
 
 ROOT = Path(__file__).resolve().parents[2]
 PAGE = Path("docs/CAPACITY.md")
@@ -24,19 +24,24 @@
 
 def _tables(evidence: Evidence) -> list[Table]:
     """One table for each sweep, with every measure that has enough points."""
-    made = []
-    for dimension, sweep in evidence.picked.sweeps.items():
-        table = Table(title=f"{dimension}, target {DIMENSIONS.get(dimension, 0):,.0f}", title_justify="left")
-        for column in ("measure", "version", "commit", "growth", "at the target"):
-            table.add_column(column)
-        for measure in sweep.after.measures():
-            for version, run in sweep.runs().items():
-                figure = evidence.at_target(dimension, measure, "before" if version == "before" else "after")
-                growth = describe_growth(run.growth(measure))
-                shown = describe(measure)
-                table.add_row(shown.text, version, run.version, growth, figure.text(shown.unit))
-        made.append(table)
-    return made
+    return [
+        _table(evidence, sweep) for sweep in evidence.picked.sweeps.values() if evidence.target(sweep.name)
+    ]
+
+
+def _table(evidence: Evidence, sweep: Sweep) -> Table:
+    table = Table(title=f"{sweep.name}, target {evidence.target(sweep.name):,.0f}", title_justify="left")
+    for column in ("measure", "version", "commit", "growth", "at the target"):
+        table.add_column(column)
+    for measure in sweep.after.measures():
+        for version in VERSIONS:
+            run = evidence.run(sweep.name, version)
+            if run is None:
+                continue
+            shown, growth = describe(measure), describe_growth(run.growth(measure))
+            figure = evidence.at_target(sweep.name, measure, version)
+            table.add_row(shown.text, version, run.version, growth, figure.text(shown.unit))
+    return table
 
 
 def _check(page: Path, text: str) -> None:
--- a/scale/report/evidence.py
+++ b/scale/report/evidence.py
@@ -7,9 +7,11 @@
 
 from scale.report.figures import MISSING, Figure, Mark
 from scale.report.fits import Estimate, Growth
-from scale.report.targets import DIMENSIONS
+from scale.report.targets import DIMENSIONS, dimension_of
 from scale.report.versions import Picked, Saved
 
+NEARLY = 0.95  # of a target: a point that has this much stands for it
+
 Version = Literal["before", "after"]
 
 
@@ -24,36 +26,41 @@
     def __init__(self, picked: Picked, targets: Mapping[str, float] = DIMENSIONS) -> None:
         self.picked, self.targets = picked, targets
 
-    def run(self, dimension: str, version: Version = "after") -> Saved | None:
+    def target(self, sweep: str) -> float:
+        """The target of the size that a sweep varies; 0 if it has none."""
+        return self.targets.get(dimension_of(sweep), 0.0)
+
+    def run(self, sweep: str, version: Version = "after") -> Saved | None:
         """The run of a sweep on one of the two commits."""
-        sweep = self.picked.sweeps.get(dimension)
-        return None if sweep is None else sweep.runs().get(version)
+        runs = self.picked.sweeps.get(sweep)
+        return None if runs is None else runs.runs().get(version)
 
-    def growth(self, dimension: str, measure: str, version: Version = "after") -> Growth | None:
-        """How a measure grows over a dimension; None if that was not measured."""
-        run = self.run(dimension, version)
+    def growth(self, sweep: str, measure: str, version: Version = "after") -> Growth | None:
+        """How a measure grows over a sweep; None if that was not measured."""
+        run = self.run(sweep, version)
         return None if run is None else run.growth(measure)
 
-    def at_target(self, dimension: str, measure: str, version: Version = "after") -> Figure:
-        """A measure at the target of one dimension, the other sizes as in the sweep."""
-        return self.at(dimension, measure, self.targets.get(dimension, 0.0), version)
-
-    def at(self, dimension: str, measure: str, size: float, version: Version = "after") -> Figure:
-        """A measure at some size of one dimension."""
-        run, growth = self.run(dimension, version), self.growth(dimension, measure, version)
-        if run is None or growth is None or size <= 0:
+    def at_target(self, sweep: str, measure: str, version: Version = "after") -> Figure:
+        """A measure at the target of one size, the others as in the sweep."""
+        run, growth = self.run(sweep, version), self.growth(sweep, measure, version)
+        target = self.target(sweep)
+        if run is None or growth is None or target <= 0:
             return MISSING
-        return _figure(growth.estimate(size), (run.file,))
+        return _figure(growth.estimate(target), (run.file,))
 
-    def together(self, measure: str, *dimensions: str, version: Version = "after") -> Figure:
-        """A measure with several sizes at their targets at once.  The sweeps vary one size each, so the
-        value is the costliest of them, and the high end adds what the others grow by."""
+    def together(self, measure: str, *sweeps: str, version: Version = "after") -> Figure:
+        """A measure with several sizes at their targets at once: as measured where a point has them all.
+        Else the value is that of the costliest sweep, and the high end adds what the others grow by."""
         found = []
-        for dimension in dimensions:
-            growth = self.growth(dimension, measure, version)
-            figure = self.at_target(dimension, measure, version)
-            if growth is not None and figure.mark is not Mark.MISSING:
-                found.append((figure, max(0.0, figure.high - growth.costs[0])))
+        for sweep in sweeps:
+            run, growth = self.run(sweep, version), self.growth(sweep, measure, version)
+            if run is None or growth is None:
+                continue
+            whole = self._whole(run, measure, sweeps)
+            if whole is not None:
+                return whole
+            figure = self.at_target(sweep, measure, version)
+            found.append((figure, max(0.0, figure.high - growth.costs[0])))
         if not found:
             return MISSING
         largest, own_growth = max(found, key=lambda each: each[0].value)
@@ -61,11 +68,20 @@
         files = tuple(file for figure, _ in found for file in figure.files)
         return Figure(Mark.EXTRAPOLATED, largest.value, largest.low, largest.high + others, files)
 
-    def gives_out(
-        self, dimension: str, measure: str, limit: float, version: Version = "after"
-    ) -> Figure | None:
+    def _whole(self, run: Saved, measure: str, sweeps: tuple[str, ...]) -> Figure | None:
+        """The measure at a point that has all of the sizes at their targets; None if there is none."""
+        for point in run.result.points:
+            reached = all(
+                point.sizes.get(dimension_of(sweep), 0.0) >= self.target(sweep) * NEARLY for sweep in sweeps
+            )
+            if reached and measure in point.measures:
+                value = point.measures[measure]
+                return Figure(Mark.MEASURED, value, value, value, (run.file,))
+        return None
+
+    def gives_out(self, sweep: str, measure: str, limit: float, version: Version = "after") -> Figure | None:
         """The size at which a measure passes a limit; None if its fits never do."""
-        run, growth = self.run(dimension, version), self.growth(dimension, measure, version)
+        run, growth = self.run(sweep, version), self.growth(sweep, measure, version)
         if run is None or growth is None:
             return MISSING
         estimate = growth.size_for(limit)
--- a/scale/report/limits.py
+++ b/scale/report/limits.py
@@ -90,7 +90,7 @@
 
     def _counter(self) -> list[Limit]:
         """The shared counter: its calls, and the wait of what it is asked."""
-        calls = self.evidence.at_target("requests_per_s", "counter_calls_per_request")
+        calls = self.evidence.at_target("ingresses", "counter_calls_per_request")
         middle = (SITE.counter_calls_low + SITE.counter_calls_high) / 2
         carried = calls.map(lambda each: model.requests_carried(middle, each) if each > 0 else float("inf"))
         return [
@@ -168,11 +168,11 @@
             ]
         limits += [
             self._limit(
-                f"resident memory, program included, over {dimension}",
+                f"resident memory of the module's state, over {dimension}",
                 dimension,
                 "resident_mb",
                 TARGETS.control_mb,
-                f"{TARGETS.control_mb:g} MB for control, taken here for the whole process",
+                f"{TARGETS.control_mb:g} MB for all control of an ingress",
             )
             for dimension in ("backends", "tenants")
         ]
--- a/scale/report/page.py
+++ b/scale/report/page.py
@@ -9,16 +9,18 @@
 from scale.errors import ScaleError
 from scale.report import model, tables
 from scale.report.constants import Constants
-from scale.report.evidence import Evidence
+from scale.report.evidence import Evidence, Version
 from scale.report.figures import COMPUTED_DIGITS, Mark, number
 from scale.report.leases import PLAN, lease_load
 from scale.report.limits import Limit, Limits
 from scale.report.measures import MEASURES
+from scale.report.ratios import RATIOS, measured_ratio
 from scale.report.roles import DAY_PER_S, LEAST_SUBSET, LIST_PER_S, STORM_PER_S, SUBSET_FACTOR, Roles, short
 from scale.report.targets import DIMENSIONS, SITE, TARGETS, entries
 from scale.report.versions import Picked, Saved, pick, read_order, read_saved
 
 TEMPLATE = Path(__file__).with_name("capacity.md.tmpl")
+VERSIONS: tuple[Version, Version] = ("before", "after")
 SHOWN_MEASURES = ("change_cpu_us", "list_apply_cpu_ms", "start_cpu_ms", "request_cpu_p50_us")
 
 
@@ -44,7 +46,6 @@
             "site": lambda name: number(getattr(SITE, name), 3),
             "constant": constants.text,
             "role": lambda name: tables.role_table(getattr(self.roles, name)()),
-            "slopes": lambda name: tables.slope_table(self.evidence, name),
             "lease": lambda name: number(getattr(lease_load(), name), COMPUTED_DIGITS),
             "plan": lambda name: f"{getattr(PLAN, name):g}",
             "table": self._table,
@@ -82,6 +83,10 @@
             return self._mechanism()
         if name == "runs":
             return self._runs()
+        if name == "ratios":
+            return self._ratios()
+        if name == "slopes":
+            return tables.all_slopes(self.evidence)
         raise KeyError(name)
 
     def _text(self, name: str) -> str:
@@ -140,6 +145,15 @@
                 )
         return tables.markdown(["what", "before", "after", "before over after", "mark", "from"], rows)
 
+    def _ratios(self) -> str:
+        """How much more the large fleet costs than the small one, before and after."""
+        rows = []
+        for ratio in RATIOS:
+            before, after = (measured_ratio(self.evidence, ratio, version) for version in VERSIONS)
+            files = ", ".join(map(short, before.files + after.files)) or "-"
+            rows.append([str(ratio), before.text("times"), after.text("times"), str(after.mark), files])
+        return tables.markdown(["what", "before", "after", "mark", "from"], rows)
+
     def _runs(self) -> str:
         """The runs that the page is made of, and what else kept the machine busy."""
         runs: list[Saved] = []
--- a/scale/report/plots.py
+++ b/scale/report/plots.py
@@ -70,7 +70,7 @@
         panels[0].legend(fontsize=6)
         figure.supxlabel(f"{sweep.dimension.replace('_', ' ')} (dotted: the target)")
         folder.mkdir(parents=True, exist_ok=True)
-        path = folder / f"{sweep.dimension}.svg"
+        path = folder / f"{sweep.name}.svg"
         figure.savefig(path, metadata={"Date": None, "Creator": None})
     return path
 
--- a/scale/report/roles.py
+++ b/scale/report/roles.py
@@ -101,7 +101,7 @@
         """The request path of an ingress."""
         cpu = self.evidence.together("request_cpu_p50_us", "backends", "ingresses", "tenants")
         tail = self.evidence.together("request_cpu_p99_us", "backends", "ingresses", "tenants")
-        memory = self.evidence.at_target("requests_per_s", "memory_per_open_request_bytes")
+        memory = self.evidence.at_target("backends", "memory_per_open_request_bytes")
         day, worst = REQUESTS, REQUESTS * REGION_LOST
         opened, late = (
             model.open_attempts(rate, time) for rate, time in ((day, SITE.work_s), (worst, SITE.give_up_s))
@@ -181,7 +181,7 @@
                 f"{TARGETS.control_mb:g} MB, all control",
             ),
             Row(
-                "resident memory, program included",
+                "resident memory of the module's state",
                 *both(evidence.together("resident_mb", "backends", "ingresses", "tenants"), "MB"),
             ),
             Row(
@@ -260,14 +260,14 @@
 
     def counter(self) -> list[Row]:
         """The counter and its shards."""
-        calls = self.evidence.at_target("requests_per_s", "counter_calls_per_request")
+        calls = self.evidence.at_target("ingresses", "counter_calls_per_request")
         total = calls.map(lambda each: model.counter_calls_per_s(TARGETS.requests_per_s, each))
         few, many = (
             total.map(lambda each, rate=rate: float(model.shards_needed(each, rate)))  # type: ignore[misc]
             for rate in (SITE.counter_calls_high, SITE.counter_calls_low)
         )
-        share = self.evidence.at_target("requests_per_s", "counter_wait_share")
-        wait = self.evidence.at_target("requests_per_s", "counter_wait_p99_ms")
+        share = self.evidence.at_target("ingresses", "counter_wait_share")
+        wait = self.evidence.at_target("ingresses", "counter_wait_p99_ms")
         links = self.constants.figure("MOST_LINKS").map(lambda each: each * TARGETS.ingresses)
         return [
             Row("state: counts in use", *both(computed(TARGETS.tenants), note="and as many that end")),
--- a/scale/report/tables.py
+++ b/scale/report/tables.py
@@ -5,12 +5,13 @@
 from collections.abc import Iterable, Sequence
 
 from scale.report.evidence import Evidence
-from scale.report.figures import Mark, number
+from scale.report.figures import number
 from scale.report.fits import Growth, Line, PowerLaw
 from scale.report.limits import Limit
+from scale.report.measures import ALL as MEASURED_DIMENSIONS
 from scale.report.measures import MEASURES
 from scale.report.roles import Row, short
-from scale.report.targets import DIMENSIONS, Entry
+from scale.report.targets import DIMENSIONS, Entry, dimension_of
 
 
 def markdown(head: Sequence[str], rows: Iterable[Sequence[str]]) -> str:
@@ -52,28 +53,40 @@
     return f"{number(chosen.base)} + {number(chosen.slope)} n, r² {chosen.r2:.2f}"
 
 
-def slope_table(evidence: Evidence, dimension: str) -> str:
-    """The growth of each measure over one dimension, before and after."""
-    rows = []
-    for name, measure in MEASURES.items():
-        if dimension not in measure.sweeps:
-            continue
-        before = evidence.at_target(dimension, name, "before")
-        after = evidence.at_target(dimension, name)
-        if Mark.MISSING is before.mark and Mark.MISSING is after.mark and dimension in evidence.picked.sweeps:
-            continue
-        rows.append(
-            [
-                measure.text,
-                describe_growth(evidence.growth(dimension, name, "before")),
-                describe_growth(evidence.growth(dimension, name)),
-                before.text(measure.unit),
-                after.text(measure.unit),
-                str(after.mark),
-            ]
-        )
-    runs = evidence.picked.sweeps[dimension].runs() if dimension in evidence.picked.sweeps else {}
-    files = "; ".join(f"{name}: {short(run.file)} (commit {run.version})" for name, run in runs.items())
-    target = f"{number(DIMENSIONS[dimension], 3)}"
+def slope_table(evidence: Evidence, sweep: str) -> str:
+    """The growth of each measure over one sweep, before and after."""
+    target = number(evidence.target(sweep), 3)
     head = ["what", "grows, before", "grows, after", f"before, at {target}", f"after, at {target}", "mark"]
-    return markdown(head, rows) + f"\n\nFrom: {files or 'no run yet, *missing*'}."
+    rows = [
+        _slope_row(evidence, sweep, name)
+        for name, measure in MEASURES.items()
+        if dimension_of(sweep) in measure.sweeps and evidence.growth(sweep, name) is not None
+    ]
+    if not rows:
+        return "Not measured: *missing*."
+    files = "; ".join(
+        f"{version}: {short(run.file)}" for version, run in evidence.picked.sweeps[sweep].runs().items()
+    )
+    return f"{markdown(head, rows)}\n\nFrom {files}."
+
+
+def _slope_row(evidence: Evidence, sweep: str, measure: str) -> list[str]:
+    before = evidence.at_target(sweep, measure, "before")
+    after = evidence.at_target(sweep, measure)
+    shown = MEASURES[measure]
+    return [
+        shown.text,
+        describe_growth(evidence.growth(sweep, measure, "before")),
+        describe_growth(evidence.growth(sweep, measure)),
+        before.text(shown.unit),
+        after.text(shown.unit),
+        str(after.mark),
+    ]
+
+
+def all_slopes(evidence: Evidence) -> str:
+    """A section for each sweep: those that a target asks for, also if they were not run, then the others."""
+    names = [name for name in DIMENSIONS if name in evidence.picked.sweeps or name in MEASURED_DIMENSIONS]
+    names += [name for name in evidence.picked.sweeps if name not in names and evidence.target(name)]
+    sections = [f"### {name.replace('_', ' ')}\n\n{slope_table(evidence, name)}" for name in names]
+    return "\n\n".join(sections)
--- a/scale/report/targets.py
+++ b/scale/report/targets.py
@@ -83,3 +83,11 @@
     "changes_per_s": TARGETS.zone_backends / 60.0,
     "requests_per_s": TARGETS.requests_per_s / TARGETS.ingresses,
 }
+
+NAME_SEPARATOR = "-"  # between a sweep's dimension and what else its name tells: "ingresses-at-200-backends"
+
+
+def dimension_of(sweep: str) -> str:
+    """The size that a sweep varies, by the sweep's name; the name itself if that begins with none."""
+    first = sweep.split(NAME_SEPARATOR)[0]
+    return first if first in DIMENSIONS else sweep
--- a/scale/report/versions.py
+++ b/scale/report/versions.py
@@ -7,6 +7,7 @@
 from pathlib import Path
 
 from scale.report.fits import Growth, fit
+from scale.report.targets import dimension_of
 from scale.results import Result, load
 
 ORDER_FILE = "commits.txt"  # commits, oldest first, one a line; commits that it leaves out come after it
@@ -24,9 +25,14 @@
         """The commit as it is shown."""
         return self.result.commit[:7] + (" with uncommitted changes" if self.result.dirty else "")
 
+    @property
+    def dimension(self) -> str:
+        """The size that the sweep varies."""
+        return dimension_of(self.result.name)
+
     def growth(self, measure: str) -> Growth | None:
         """The fits of a measure over the swept dimension; None if there are too few points."""
-        dimension = self.result.name
+        dimension = self.dimension
         return fit(
             [
                 (point.sizes[dimension], point.measures[measure])
@@ -44,10 +50,15 @@
 class Sweep:
     """The runs of one sweep on the oldest and on the newest commit; one run alone is `after`."""
 
-    dimension: str
+    name: str
     after: Saved
     before: Saved | None = None
 
+    @property
+    def dimension(self) -> str:
+        """The size that it varies."""
+        return dimension_of(self.name)
+
     def runs(self) -> dict[str, Saved]:
         """The runs by "before" and "after", the older one first."""
         return ({} if self.before is None else {"before": self.before}) | {"after": self.after}
