--- /dev/null
+++ b/scale/project.py
@@ -0,0 +1,26 @@
+"""The version that is measured: a child's environment in which `mulleinhall` is that of a given checkout."""
+
+from __future__ import annotations
+
+import os
+import tempfile
+from collections.abc import Iterator
+from contextlib import contextmanager
+from pathlib import Path
+
+PACKAGE = "mulleinhall"
+TOOL_ROOT = Path(__file__).resolve().parent.parent
+
+
+@contextmanager
+def child_environment(project: Path) -> Iterator[dict[str, str]]:
+    """Environment variables for children that import `scale` from here and the package from `project`.
+
+    A folder that holds nothing but a link to the checkout's package stands first on the path: a checkout
+    may hold another version of `scale`, which must not be imported.  Nothing is written to the checkout.
+    Children are to be started with Python's option -P, which keeps the working directory off the path.
+    """
+    with tempfile.TemporaryDirectory(prefix="scale-") as folder:
+        (Path(folder) / PACKAGE).symlink_to((project / PACKAGE).resolve(), target_is_directory=True)
+        path = os.pathsep.join((folder, str(TOOL_ROOT)))
+        yield os.environ | {"PYTHONPATH": path, "PYTHONDONTWRITEBYTECODE": "1", "PYTHONHASHSEED": "0"}
--- /dev/null
+++ b/scale/slopes/simulation.py
@@ -0,0 +1,212 @@
+"""Plays a fleet to one decision module on a simulated clock and keeps account of what each event cost."""
+
+from __future__ import annotations
+
+import heapq
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, field
+
+from mulleinhall.interface import (
+    Action,
+    AttemptEnded,
+    BackendsChanged,
+    Count,
+    CounterReply,
+    Event,
+    Fail,
+    Outcome,
+    Refuse,
+    Request,
+    Send,
+    SetTimer,
+    Timer,
+)
+from scale.slopes.counter import CounterStandIn
+from scale.slopes.meters import Meter
+from scale.slopes.traffic import Arrival
+
+ANSWER_S = 0.1  # from a send to the backend's answer
+LONGEST_DRAIN_S = 10.0  # simulated
+
+
+@dataclass(slots=True)
+class OpenRequest:
+    """A request that has no final answer yet."""
+
+    began: float
+    measured: bool
+    cost: int = 0
+    attempts: int = 0
+    waits: bool = False  # it was neither sent nor refused when it came: the counter was asked first
+
+
+@dataclass(slots=True)
+class Account:
+    """What happened while measuring was on."""
+
+    request_costs: list[int] = field(default_factory=list)  # of served requests, their answers included
+    change_costs: list[int] = field(default_factory=list)
+    control_cost: int = 0  # of timers and of the counter's replies
+    waits_s: list[float] = field(default_factory=list)
+    requests: int = 0
+    refused: int = 0
+    failed: int = 0
+    counter_calls: int = 0
+    counter_unanswered: int = 0
+    counter_bytes: int = 0
+
+
+@dataclass(order=True, slots=True)
+class Due:
+    """Something that comes to pass at a time; what is due at one moment keeps its order."""
+
+    at: float
+    number: int
+    what: Event | Arrival | Callable[[float], BackendsChanged] = field(compare=False)
+
+
+class Simulation:
+    """One ingress's decision module among stand-ins for everything else."""
+
+    def __init__(self, meter: Meter, counter: CounterStandIn, start: float) -> None:
+        self.meter, self.counter, self.now = meter, counter, start
+        self.account = Account()
+        self.measuring = False
+        self.open: dict[str, OpenRequest] = {}
+        self._due: list[Due] = []
+        self._number = 0
+        self._arrivals: Iterator[Arrival] | None = None
+        self._change_gap = 0.0
+        self._next_change: Callable[[float], BackendsChanged] | None = None
+        self._counting_for: dict[int, str] = {}  # the request that a call to the counter was made for
+
+    def begin(self, arrivals: Iterator[Arrival]) -> None:
+        """Lets requests arrive from now on."""
+        self._arrivals = arrivals
+        self._plan_arrival()
+
+    def begin_changes(self, next_change: Callable[[float], BackendsChanged], per_s: float) -> None:
+        """Lets the list change from now on, at even distances."""
+        self._next_change, self._change_gap = next_change, 1 / per_s
+        self._plan(self.now + self._change_gap, next_change)
+
+    def run(self, stop: Callable[[], bool]) -> None:
+        """Plays events until `stop`, or until nothing is due."""
+        while self._due and not stop():
+            self._step()
+
+    def run_until(self, end: float) -> None:
+        """Plays all events that are due before `end`."""
+        while self._due and self._due[0].at < end:
+            self._step()
+        self.now = max(self.now, end)
+
+    def drain(self) -> None:
+        """Ends the arrivals and plays on until each request has its final answer."""
+        self._arrivals = None
+        last = self.now + LONGEST_DRAIN_S
+        self.run(lambda: not self.open or self.now > last)
+
+    def feed(self, event: Event) -> None:
+        """Hands one event to the module at the present time."""
+        self._handle(event)
+
+    def _plan(self, at: float, what: Event | Arrival | Callable[[float], BackendsChanged]) -> None:
+        self._number += 1
+        heapq.heappush(self._due, Due(at, self._number, what))
+
+    def _plan_arrival(self) -> None:
+        if self._arrivals is not None:
+            arrival = next(self._arrivals)
+            self._plan(arrival.at, arrival)
+
+    def _step(self) -> None:
+        due = heapq.heappop(self._due)
+        self.now = max(self.now, due.at)
+        if isinstance(due.what, Arrival):
+            if self._arrivals is not None:
+                self._handle(due.what.request)
+                self._plan_arrival()
+        elif callable(due.what):
+            self._handle(due.what(self.now))
+            self._plan(self.now + self._change_gap, due.what)
+        else:
+            self._handle(due.what)
+
+    def _handle(self, event: Event) -> None:
+        if isinstance(event, Request):
+            self.open[event.id] = OpenRequest(self.now, self.measuring)
+            self.account.requests += self.measuring
+        actions = self.meter.handle(self.now, event)
+        self._charge(event, self.meter.last)
+        for action in actions:
+            self._do(action, event)
+        if isinstance(event, Request) and (request := self.open.get(event.id)) and not request.attempts:
+            request.waits = True
+        if isinstance(event, AttemptEnded) and event.finished:
+            self._served(event.id)
+
+    def _charge(self, event: Event, cost: int) -> None:
+        """Adds the cost to the request that the event belongs to, or else to control."""
+        match event:
+            case Request(id=request_id) | AttemptEnded(id=request_id):
+                if request := self.open.get(request_id):
+                    request.cost += cost
+            case CounterReply(name=name):
+                request = self.open.get(self._counting_for.pop(name, ""))
+                if request is not None:
+                    request.cost += cost
+                self.account.control_cost += cost * self.measuring
+            case BackendsChanged() if self.measuring:
+                self.account.change_costs.append(cost)
+            case Timer() if self.measuring:
+                self.account.control_cost += cost
+
+    def _do(self, action: Action, cause: Event) -> None:
+        match action:
+            case Send(id=request_id, backend=backend):
+                self._send(request_id, backend)
+            case Refuse(id=request_id) | Fail(id=request_id):
+                self._turned_away(request_id, isinstance(action, Refuse))
+            case SetTimer(delay=delay, token=token):
+                self._plan(self.now + max(0.0, delay), Timer(token))
+            case Count():
+                self._count(action, cause)
+
+    def _send(self, request_id: str, backend: str) -> None:
+        request = self.open[request_id]
+        if not request.attempts:
+            self._decided(request)
+        ended = AttemptEnded(id=request_id, attempt=request.attempts, backend=backend, outcome=Outcome.OK,
+                             latency=ANSWER_S, finished=True)
+        request.attempts += 1
+        self._plan(self.now + ANSWER_S, ended)
+
+    def _decided(self, request: OpenRequest) -> None:
+        """The first attempt or the refusal: what waited for the counter until then is noted."""
+        if request.measured and request.waits:
+            self.account.waits_s.append(self.now - request.began)
+
+    def _served(self, request_id: str) -> None:
+        request = self.open.pop(request_id, None)
+        if request is not None and request.measured:
+            self.account.request_costs.append(request.cost)
+
+    def _turned_away(self, request_id: str, refused: bool) -> None:
+        request = self.open.pop(request_id)
+        if not request.attempts:
+            self._decided(request)
+        if request.measured:
+            self.account.refused += refused
+            self.account.failed += not refused
+
+    def _count(self, action: Count, cause: Event) -> None:
+        if isinstance(cause, Request):
+            self._counting_for[action.name] = cause.id
+        answer = self.counter.call(self.now, action)
+        self._plan(answer.at, answer.reply)
+        if self.measuring:
+            self.account.counter_calls += 1
+            self.account.counter_unanswered += answer.reply.outcome is not Outcome.OK
+            call = f"add {action.name} {action.add:.6g} {round(action.lifetime * 1000)}\r\n"
+            self.account.counter_bytes += len(call) + len(f"ok {answer.reply.total:.7g}\r\n")
--- /dev/null
+++ b/scale/slopes/traffic.py
@@ -0,0 +1,45 @@
+"""The requests that clients make of one ingress: a seeded Poisson stream over tenants and classes."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+from mulleinhall.interface import Request, RequestClass, Semantics, Settings
+from scale.slopes.job import Sizes
+from scale.slopes.tenants import UNITS, Demand, Tenant
+
+
+@dataclass(frozen=True, slots=True)
+class Arrival:
+    """A request and the time at which it comes."""
+
+    at: float
+    request: Request
+
+
+def arrivals(sizes: Sizes, settings: Settings, demand: Demand, start: float, seed: int) -> Iterator[Arrival]:
+    """An endless stream of requests from `start` on."""
+    rng = random.Random(seed)
+    now, number = start, 0
+    while True:
+        now += rng.expovariate(sizes.requests_per_s)
+        number += 1
+        tenant = rng.choices(demand.tenants, cum_weights=demand.cumulative_weights)[0]
+        request_class, units = rng.choice(settings.classes), float(rng.choice(UNITS))
+        yield Arrival(now, _request(str(number), sizes, tenant, request_class, units))
+
+
+def one_request_each(sizes: Sizes, settings: Settings, demand: Demand) -> list[Request]:
+    """One request of one unit from each tenant."""
+    return [_request(f"first-{tenant.key}", sizes, tenant, settings.classes[0], 1.0)
+            for tenant in demand.tenants]
+
+
+def _request(request_id: str, sizes: Sizes, tenant: Tenant, request_class: RequestClass,
+             units: float) -> Request:
+    return Request(
+        id=request_id, request_class=request_class.name, plan=tenant.plan, customer=tenant.key,
+        time_left=request_class.deadline, units=units, spread=sizes.spread,
+        first=sizes.first, write=request_class.semantics is not Semantics.SAFE)
