Report: falling lines are held, sizes already passed are told as a bound, smaller plots

Change: a line that falls is held at the least measured cost; a limit passed at the least size shows as a range from zero; the plots hold the page's measures alone; the page names the model of the counter and the constants of the subset.

--- a/scale/report/constants.py
+++ b/scale/report/constants.py
@@ -61,4 +61,4 @@
     def text(self, name: str) -> str:
         """The constant with its value and file."""
         constant = self._found.get(name)
-        return f"`{name}` (no longer in the code)" if constant is None else str(constant)
+        return f"`{name}` (not in this code)" if constant is None else str(constant)
--- a/scale/report/fits.py
+++ b/scale/report/fits.py
@@ -72,19 +72,29 @@
         """Whether the line rises over the measured sizes by more than what rounding leaves."""
         return self.line.slope * (self.sizes[-1] - self.sizes[0]) > FLAT * max(self.costs)
 
+    @property
+    def changes(self) -> bool:
+        """Whether any cost differs from the first by more than what rounding leaves."""
+        return max(self.costs) - min(self.costs) > FLAT * max(map(abs, self.costs))
+
     def estimate(self, size: float) -> Estimate:
-        """The cost at a size: between measured points if it lies among them, else by the fits."""
+        """The cost at a size: between measured points if it lies among them, else by the fits.  A line that
+        falls would end below zero; beyond the points it is held at the least cost that was measured."""
         if self.sizes[0] <= size <= self.sizes[-1]:
             cost = float(np.interp(size, self.sizes, self.costs))
             return Estimate(cost, cost, cost, measured=True)
-        costs = [fit.at(size) for fit in (self.line, self.power) if fit is not None]
-        return Estimate(min(costs), self.chosen.at(size), max(costs), measured=False)
+        costs = {fit: self._held(fit, size) for fit in (self.line, self.power) if fit is not None}
+        return Estimate(min(costs.values()), costs[self.chosen], max(costs.values()), measured=False)
+
+    def _held(self, fit: Line | PowerLaw, size: float) -> float:
+        falls = isinstance(fit, Line) and fit.slope < 0
+        return max(fit.at(size), min(self.costs)) if falls else fit.at(size)
 
     def size_for(self, cost: float) -> Estimate | None:
         """The size at which the cost passes a limit; None if it never does."""
         crossing = self._crossing(cost)
         if crossing is not None:
-            return Estimate(crossing, crossing, crossing, measured=True)
+            return crossing
         if not self.grows:
             return None
         sizes = [fit.size_for(cost) for fit in (self.line, self.power) if fit is not None]
@@ -96,14 +106,16 @@
             return None
         return Estimate(min(beyond), chosen, max(beyond), measured=False)
 
-    def _crossing(self, cost: float) -> float | None:
-        """The size among the measured ones from which on the cost stays above a limit."""
+    def _crossing(self, cost: float) -> Estimate | None:
+        """The size among the measured ones from which on the cost stays above a limit.  If all costs are
+        above it, that lies somewhere below the least size."""
         if self.costs[-1] <= cost:
             return None
         last = max((at for at, each in enumerate(self.costs) if each <= cost), default=None)
         if last is None:
-            return self.sizes[0]
-        return float(np.interp(cost, self.costs[last : last + 2], self.sizes[last : last + 2]))
+            return Estimate(0.0, self.sizes[0], self.sizes[0], measured=True)
+        size = float(np.interp(cost, self.costs[last : last + 2], self.sizes[last : last + 2]))
+        return Estimate(size, size, size, measured=True)
 
 
 @dataclass(frozen=True, slots=True)
--- a/scale/report/limits.py
+++ b/scale/report/limits.py
@@ -123,7 +123,7 @@
                 "backends",
                 "list_bytes",
                 most.value,
-                self.constants.text("MOST_BYTES"),
+                self.constants.text("MOST_BYTES") + ", or more where the memory limit allows",
             )
             if most.mark is not Mark.MISSING
             else Limit(
@@ -131,7 +131,7 @@
                 None,
                 "backends",
                 TARGETS.backends,
-                self.constants.text("MOST_BYTES"),
+                self.constants.text("MOST_BYTES") + ", or more where the memory limit allows",
             ),
             self._zone_bytes(),
         ]
@@ -186,7 +186,7 @@
         """The zone whose loss fills the control traffic of an ingress that is told of every backend."""
         size = self.evidence.at_target("backends", "change_bytes")
         zone = size.map(
-            lambda each: max(0.0, TARGETS.control_bytes_per_s / each - CONFIG_PER_S) * ZONE_SECONDS
+            lambda each: max(0.0, TARGETS.control_bytes_per_s / max(each, 1.0) - CONFIG_PER_S) * ZONE_SECONDS
         )
         return Limit(
             "control traffic while a zone leaves",
--- a/scale/report/page.py
+++ b/scale/report/page.py
@@ -18,6 +18,7 @@
 from scale.report.roles import DAY_PER_S, LEAST_SUBSET, LIST_PER_S, STORM_PER_S, SUBSET_FACTOR, Roles, short
 from scale.report.targets import DIMENSIONS, SITE, TARGETS, entries
 from scale.report.versions import Picked, Saved, pick, read_order, read_saved
+from scale.slopes.job import CounterModel
 
 TEMPLATE = Path(__file__).with_name("capacity.md.tmpl")
 VERSIONS: tuple[Version, Version] = ("before", "after")
@@ -47,6 +48,7 @@
             "constant": constants.text,
             "role": lambda name: tables.role_table(getattr(self.roles, name)()),
             "lease": lambda name: number(getattr(lease_load(), name), COMPUTED_DIGITS),
+            "counter": lambda name: number(getattr(CounterModel(), name)),
             "plan": lambda name: f"{getattr(PLAN, name):g}",
             "table": self._table,
             "text": self._text,
--- a/scale/report/plots.py
+++ b/scale/report/plots.py
@@ -12,7 +12,7 @@
 from matplotlib.figure import Figure
 
 from scale.report.fits import Growth
-from scale.report.measures import describe
+from scale.report.measures import MEASURES
 from scale.report.targets import DIMENSIONS
 from scale.report.versions import Picked, Sweep
 
@@ -43,18 +43,23 @@
         if growth is not None:
             _draw(axes, growth, COLORS[version], f"{version}, {run.version}", target)
             costs += growth.costs
-    shown = describe(measure)
+    shown = MEASURES[measure]
     axes.set_title(shown.text + (f", {shown.unit}" if shown.unit else ""), fontsize=7)
     axes.set_xscale("log")
     if costs and min(costs) > 0:
         axes.set_yscale("log")
+    axes.minorticks_off()
     if target > 0:
         axes.axvline(target, color="#888888", linewidth=0.6, linestyle=":")
 
 
 def plot_sweep(sweep: Sweep, folder: Path) -> Path | None:
     """Writes the picture of a sweep; None if no measure has enough points."""
-    measures = [name for name in sweep.after.measures() if sweep.after.growth(name) is not None]
+    measures = [
+        name
+        for name, shown in MEASURES.items()
+        if sweep.dimension in shown.sweeps and sweep.after.growth(name) is not None
+    ]
     if not measures:
         return None
     rows = ceil(len(measures) / COLUMNS)
--- a/scale/report/roles.py
+++ b/scale/report/roles.py
@@ -73,8 +73,9 @@
 
 
 def short(file: str) -> str:
-    """A result file's name as a link from the page."""
-    return f"[{file.removesuffix('.json')}](../scale/results/{file})"
+    """A result file's name without its time, as a link from the page."""
+    label = file.removesuffix(".json").rpartition("-")[0] or file
+    return f"[{label}](../scale/results/{file})"
 
 
 def both(figure: Figure, unit: str = "", scale: float = 1.0, note: str = "") -> tuple[Cell, Cell]:
@@ -280,8 +281,8 @@
             ),
             Row(
                 "counters of today's capacity",
-                Cell(few),
-                Cell(many),
+                Cell(few, note=f"at {SITE.counter_calls_high:g} /s each"),
+                Cell(many, note=f"at {SITE.counter_calls_low:g} /s each"),
                 f"within {TARGETS.control_machines:g} machines",
             ),
             Row(
--- a/scale/report/tables.py
+++ b/scale/report/tables.py
@@ -49,8 +49,11 @@
         return "not measured"
     chosen: Line | PowerLaw = growth.chosen
     if isinstance(chosen, PowerLaw):
-        return f"n^{chosen.exponent:.2f}, r² {chosen.r2:.2f}"
-    return f"{number(chosen.base)} + {number(chosen.slope)} n, r² {chosen.r2:.2f}"
+        return f"n^{chosen.exponent + 0.0:.2f}, r² {chosen.r2:.2f}"
+    if not growth.changes:
+        return "level"
+    sign = "-" if chosen.slope < 0 else "+"
+    return f"{number(chosen.base)} {sign} {number(abs(chosen.slope))} n, r² {chosen.r2:.2f}"
 
 
 def slope_table(evidence: Evidence, sweep: str) -> str:
--- a/tests/scale/test_report.py
+++ b/tests/scale/test_report.py
@@ -13,8 +13,9 @@
 from scale.report.fits import Growth, Line, PowerLaw, fit
 from scale.report.page import read_picked
 from scale.report.plots import plot_sweep
+from scale.report.ratios import RATIOS, Corner, Ratio, measured_ratio
 from scale.report.versions import ORDER_FILE, Picked
-from scale.results import Environment, Point, Result, save
+from scale.results import Environment, Point, Result, load, save
 
 SIZES = (10.0, 50.0, 100.0, 500.0, 1000.0)
 FIRST = datetime(2026, 1, 1, tzinfo=UTC)
@@ -86,6 +87,10 @@
     assert growth.power is None and isinstance(growth.chosen, Line)
 
 
+def test_a_line_that_falls_is_held_at_the_least_measured_cost() -> None:
+    assert fitted([9.0, 8.0, 7.0, 6.0, 5.0]).estimate(1e6).high == 5
+
+
 def test_two_sizes_are_too_few() -> None:
     assert fit([(1, 1), (1, 2), (2, 3)]) is None
 
@@ -143,6 +148,31 @@
     assert len(figure.files) == 2
 
 
+def test_a_point_that_has_all_sizes_counts_as_measured(tmp_path: Path) -> None:
+    path = write_sweep(tmp_path, OLD, 0, [2 * size for size in SIZES])
+    result = load(path)
+    for point in result.points:
+        point.sizes["ingresses"] = 40
+    file = save(result, tmp_path).name
+    evidence = Evidence(read_picked(tmp_path), {"backends": 1000, "ingresses": 41})
+    assert evidence.together("change_cpu_us", "backends", "ingresses") == Figure(
+        Mark.MEASURED, 2000, 2000, 2000, (file,)
+    )
+
+
+def test_ratios_come_from_two_corners(tmp_path: Path) -> None:
+    path = write_sweep(tmp_path, OLD, 0, [3.0, 1.0, 2.0, 6.0, 1.0], name="acceptance")
+    result = load(path)
+    for point, backends in zip(result.points, (200, 50, 2_000, 20_000, 7), strict=True):
+        point.sizes |= {"backends": backends, "ingresses": 3_400}
+    save(result, tmp_path)
+    evidence = Evidence(read_picked(tmp_path))
+    ratio = Ratio("change_cpu_us", Corner(20_000, 3_400), Corner(200, 3_400))
+    assert measured_ratio(evidence, ratio, "after") == Figure(Mark.MEASURED, 2, 2, 2, (path.name,))
+    assert measured_ratio(evidence, RATIOS[-1], "after") == MISSING
+    assert measured_ratio(evidence, ratio, "before") == MISSING
+
+
 def test_a_figure_is_as_sure_as_the_least_sure_of_its_parts() -> None:
     extrapolated = Figure(Mark.EXTRAPOLATED, 2, 1, 3, ("a.json",))
     assert combine(add, computed(1), extrapolated) == Figure(Mark.EXTRAPOLATED, 3, 2, 4, ("a.json",))
