Report: marks in the prose follow the results, readable plots, smaller modules

Cause: the template called mechanisms measured before any run was saved; plots of level costs had no scale. Change: such marks are placeholders, and a test forbids fixed ones; costs that differ less than tenfold stand on a linear scale; rows and loads have modules of their own.

--- a/scale/report/fits.py
+++ b/scale/report/fits.py
@@ -86,6 +86,10 @@
         costs = {fit: self._held(fit, size) for fit in (self.line, self.power) if fit is not None}
         return Estimate(min(costs.values()), costs[self.chosen], max(costs.values()), measured=False)
 
+    def fitted(self, size: float) -> float:
+        """The cost at a size by the chosen fit alone."""
+        return self._held(self.chosen, size)
+
     def _held(self, fit: Line | PowerLaw, size: float) -> float:
         falls = isinstance(fit, Line) and fit.slope < 0
         return max(fit.at(size), min(self.costs)) if falls else fit.at(size)
--- a/scale/report/limits.py
+++ b/scale/report/limits.py
@@ -9,7 +9,8 @@
 from scale.report.constants import Constants
 from scale.report.evidence import Evidence
 from scale.report.figures import MISSING, Figure, Mark, computed, number
-from scale.report.roles import CONFIG_PER_S, DAY_PER_S, REQUESTS, STORM_PER_S, short
+from scale.report.loads import CONFIG_PER_S, DAY_PER_S, REQUESTS, STORM_PER_S
+from scale.report.rows import short
 from scale.report.targets import DIMENSIONS, SITE, TARGETS
 
 ZONE_SECONDS = 60.0  # in which a zone leaves
--- a/scale/report/page.py
+++ b/scale/report/page.py
@@ -13,9 +13,11 @@
 from scale.report.figures import COMPUTED_DIGITS, Mark, number
 from scale.report.leases import PLAN, lease_load
 from scale.report.limits import Limit, Limits
+from scale.report.loads import DAY_PER_S, LEAST_SUBSET, LIST_PER_S, STORM_PER_S, SUBSET_FACTOR
 from scale.report.measures import MEASURES
 from scale.report.ratios import RATIOS, measured_ratio
-from scale.report.roles import DAY_PER_S, LEAST_SUBSET, LIST_PER_S, STORM_PER_S, SUBSET_FACTOR, Roles, short
+from scale.report.roles import Roles
+from scale.report.rows import short
 from scale.report.targets import DIMENSIONS, SITE, TARGETS, entries
 from scale.report.versions import Picked, Saved, pick, read_order, read_saved
 from scale.slopes.job import CounterModel
@@ -55,6 +57,7 @@
             "after": lambda name: self._measured(name, "after"),
             "before": lambda name: self._measured(name, "before"),
             "computed": self._computed,
+            "mark": self._mark,
         }
 
     def __getitem__(self, key: str) -> str:
@@ -106,6 +109,13 @@
         files = "".join(f", {short(file)}" for file in figure.files)
         return f"{figure.text()} ({figure.mark}{files})"
 
+    def _mark(self, name: str) -> str:
+        """How SWEEP.MEASURE, or scenario.MEASURE, was come by."""
+        sweep, _, measure = name.partition(".")
+        scenario = sweep == "scenario"
+        figure = self.evidence.scenario(measure) if scenario else self.evidence.at_target(sweep, measure)
+        return str(figure.mark)
+
     def _computed(self, name: str) -> str:
         values = {
             "day_per_s": DAY_PER_S,
--- a/scale/report/plots.py
+++ b/scale/report/plots.py
@@ -18,6 +18,7 @@
 
 COLUMNS = 2
 PANEL = (3.6, 2.5)  # inches
+LOG_FROM = 10.0  # times: costs that differ less stand on a linear scale from 0
 COLORS = {"before": "#b3541e", "after": "#1f5f8b"}
 CURVE_POINTS = 40
 STYLE: dict[Any, Any] = {
@@ -32,7 +33,7 @@
     """The measured points, and the better fit up to the target."""
     axes.plot(growth.sizes, growth.costs, "o", markersize=3, color=color, label=label)
     sizes = np.geomspace(max(growth.sizes[0], 1e-9), max(target, growth.sizes[-1]), CURVE_POINTS)
-    axes.plot(sizes, [growth.chosen.at(float(size)) for size in sizes], "-", linewidth=0.8, color=color)
+    axes.plot(sizes, [growth.fitted(float(size)) for size in sizes], "-", linewidth=0.8, color=color)
 
 
 def _panel(axes: Axes, sweep: Sweep, measure: str) -> None:
@@ -42,12 +43,14 @@
         growth = run.growth(measure)
         if growth is not None:
             _draw(axes, growth, COLORS[version], f"{version}, {run.version}", target)
-            costs += growth.costs
+            costs += [*growth.costs, growth.fitted(max(target, growth.sizes[-1]))]
     shown = MEASURES[measure]
     axes.set_title(shown.text + (f", {shown.unit}" if shown.unit else ""), fontsize=7)
     axes.set_xscale("log")
-    if costs and min(costs) > 0:
+    if costs and min(costs) > 0 and max(costs) > LOG_FROM * min(costs):
         axes.set_yscale("log")
+    else:
+        axes.set_ylim(0, 1.5 * max(costs, default=0.0) or 1.0)
     axes.minorticks_off()
     if target > 0:
         axes.axvline(target, color="#888888", linewidth=0.6, linestyle=":")
--- a/scale/report/roles.py
+++ b/scale/report/roles.py
@@ -2,89 +2,30 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from operator import add
 
 from scale.report import model
 from scale.report.constants import Constants
 from scale.report.evidence import Evidence
-from scale.report.figures import MISSING, Figure, combine, computed, weakest
+from scale.report.figures import MISSING, Figure, combine, computed
+from scale.report.loads import (
+    BACKEND_PART,
+    CONFIG_PER_S,
+    DAY_PER_S,
+    LEAST_SUBSET,
+    REGION_LOST,
+    RELEASE_SHARE,
+    REQUESTS,
+    SOCKETS,
+    SPARE_SOCKETS,
+    SPREAD,
+    STORM_PER_S,
+    SUBSET_FACTOR,
+)
+from scale.report.rows import NOTHING, Cell, Row, both
 from scale.report.targets import SECONDS_PER_DAY, SITE, TARGETS
 
 MEGABYTE = 1e6
-LEAST_SUBSET = 12.0  # backends: the subset of fixed size, and the least that follows the fleet
-SUBSET_FACTOR = 2.0  # times the backends per ingress: the subset that follows the fleet's size
-RELEASE_SHARE = 0.1  # of the ingresses, restarted within the worst minute
-SOCKETS, SPARE_SOCKETS, BACKEND_PART = 1024.0, 48.0, 3.0  # descriptors of an ingress; a third are backends'
-
-CONFIG_PER_S = TARGETS.config_changes_per_day / SECONDS_PER_DAY
-LIST_PER_S = (
-    model.list_changes_per_day(TARGETS.restarts_per_day, TARGETS.machine_failures_per_day) / SECONDS_PER_DAY
-)
-DAY_PER_S = CONFIG_PER_S + LIST_PER_S
-STORM_PER_S = model.zone_changes_per_s(TARGETS.zone_backends) + CONFIG_PER_S
-REQUESTS = model.per_ingress(TARGETS.requests_per_s, TARGETS.ingresses)
-REGION_LOST = TARGETS.regions / (TARGETS.regions - 1)  # times the load while one region's goes to the others
-SPREAD = (SITE.spread_low + SITE.spread_high) / 2
-
-
-@dataclass(frozen=True, slots=True)
-class Cell:
-    """A figure with its unit; without a figure, only a note."""
-
-    figure: Figure | None = None
-    unit: str = ""
-    scale: float = 1.0
-    note: str = ""
-
-    def __str__(self) -> str:
-        shown = "" if self.figure is None else self.figure.text(self.unit, self.scale)
-        return ", ".join(part for part in (shown, self.note) if part) or "-"
-
-
-@dataclass(frozen=True, slots=True)
-class Row:
-    """One line of a role's table."""
-
-    what: str
-    day: Cell
-    worst: Cell
-    asked: str = "-"
-
-    def figures(self) -> list[Figure]:
-        """The figures of both columns."""
-        return [cell.figure for cell in (self.day, self.worst) if cell.figure is not None]
-
-    def files(self) -> list[str]:
-        """The result files that the row comes from."""
-        return sorted({file for figure in self.figures() for file in figure.files})
-
-    def cells(self) -> list[str]:
-        """The columns as text."""
-        mark = weakest(self.figures())
-        return [
-            self.what,
-            str(self.day),
-            str(self.worst),
-            self.asked,
-            str(mark),
-            ", ".join(map(short, self.files())) or "-",
-        ]
-
-
-def short(file: str) -> str:
-    """A result file's name without its time, as a link from the page."""
-    label = file.removesuffix(".json").rpartition("-")[0] or file
-    return f"[{label}](../scale/results/{file})"
-
-
-def both(figure: Figure, unit: str = "", scale: float = 1.0, note: str = "") -> tuple[Cell, Cell]:
-    """The same figure on an ordinary day and in the worst minute."""
-    cell = Cell(figure, unit, scale, note)
-    return cell, cell
-
-
-NOTHING = both(MISSING)
 
 
 class Roles:
--- a/scale/report/tables.py
+++ b/scale/report/tables.py
@@ -10,7 +10,7 @@
 from scale.report.limits import Limit
 from scale.report.measures import ALL as MEASURED_DIMENSIONS
 from scale.report.measures import MEASURES
-from scale.report.roles import Row, short
+from scale.report.rows import Row, short
 from scale.report.targets import DIMENSIONS, Entry, dimension_of
 
 
--- a/tests/scale/test_capacity.py
+++ b/tests/scale/test_capacity.py
@@ -65,9 +65,11 @@
             page.render(f"${{{key}}}")
 
 
-def test_the_template_holds_no_measured_figure_of_its_own() -> None:
-    rows = [line for line in TEMPLATE.read_text(encoding="utf-8").splitlines() if line.startswith("|")]
-    assert not any(f"{mark}" in row for row in rows for mark in (Mark.MEASURED, Mark.EXTRAPOLATED))
+def test_the_template_calls_nothing_measured_of_its_own() -> None:
+    lines = TEMPLATE.read_text(encoding="utf-8").splitlines()
+    legend = [f"- {Mark.MEASURED}", f"- {Mark.EXTRAPOLATED}"]
+    told = [line for line in lines if not any(line.startswith(start) for start in legend)]
+    assert not any(str(mark) in line for line in told for mark in (Mark.MEASURED, Mark.EXTRAPOLATED))
 
 
 def test_subsets_and_holders() -> None:
