Report: a table of the scenarios, with the lag of the machine they share

Cause: the page named the scenarios' files and showed four of their figures. Change: each scenario's measures stand in one table; rows of the roles take the largest fleet's figures.

--- a/scale/report/evidence.py
+++ b/scale/report/evidence.py
@@ -20,6 +20,11 @@
     return Figure(mark, estimate.value, estimate.low, estimate.high, files)
 
 
+def _fleet(saved: Saved) -> tuple[float, str]:
+    """The ingresses of a scenario, then its name."""
+    return max((point.sizes.get("ingresses", 0.0) for point in saved.result.points), default=0.0), saved.file
+
+
 class Evidence:
     """The picked results, asked for one figure at a time."""
 
@@ -88,8 +93,8 @@
         return None if estimate is None else _figure(estimate, (run.file,))
 
     def scenario(self, measure: str) -> Figure:
-        """A measure as the newest scenario that has it told it last, at that scenario's sizes."""
-        runs = sorted(self.picked.scenarios.values(), key=lambda saved: saved.result.taken_at)
+        """A measure as the scenario with the largest fleet that has it told it last."""
+        runs = sorted(self.picked.scenarios.values(), key=_fleet)
         for saved in reversed(runs):
             values = [point.measures[measure] for point in saved.result.points if measure in point.measures]
             if values:
--- a/scale/report/measures.py
+++ b/scale/report/measures.py
@@ -52,9 +52,14 @@
     "change_acted_p50_s": Measure("from a change until an ingress acts, median", "s"),
     "change_acted_p99_s": Measure("from a change until an ingress acts, 99 in 100", "s"),
     "change_acted_max_s": Measure("from a change until every ingress acts", "s"),
+    "change_in_force_4s_share": Measure("changes in force everywhere within 4 s, share", ""),
+    "change_missing": Measure("pairs of change and ingress never seen in force", ""),
     "served_share": Measure("served, share", ""),
     "refused_share": Measure("refused, share", ""),
     "failed_share": Measure("failed, share", ""),
+    "lost": Measure("requests without an answer", ""),
+    "idle_control_bytes_per_s": Measure("control traffic of an ingress, no change and no load", "B/s"),
+    "worker_lag_p99_ms": Measure("lag of the processes that hollow ingresses share, 99 in 100", "ms"),
     "real_request_cpu_us": Measure("processor time of a request, real ingress", "µs"),
     "real_control_cpu_share": Measure("share of a core for control, real ingress", ""),
     "real_resident_mb": Measure("resident memory, real ingress", "MB"),
@@ -66,3 +71,34 @@
 def describe(name: str) -> Measure:
     """The measure of that name; one that the page does not know is shown by its name."""
     return MEASURES.get(name, Measure(name.replace("_", " "), ""))
+
+
+# What a scenario's run is shown by.
+SCENARIO_MEASURES = (
+    "change_acted_p50_s",
+    "change_acted_p99_s",
+    "change_acted_max_s",
+    "change_in_force_4s_share",
+    "change_missing",
+    "served_share",
+    "refused_share",
+    "failed_share",
+    "lost",
+    "request_cpu_p50_us",
+    "request_cpu_p99_us",
+    "real_request_cpu_us",
+    "added_latency_p50_ms",
+    "added_latency_p99_ms",
+    "counter_calls_per_request",
+    "counter_wait_share",
+    "counter_wait_p99_ms",
+    "counter_unanswered_share",
+    "discovery_calls_per_s",
+    "control_bytes_per_s",
+    "idle_control_bytes_per_s",
+    "control_cpu_share",
+    "real_control_cpu_share",
+    "resident_mb",
+    "real_resident_mb",
+    "worker_lag_p99_ms",
+)
--- a/scale/report/page.py
+++ b/scale/report/page.py
@@ -88,6 +88,8 @@
             return self._mechanism()
         if name == "runs":
             return self._runs()
+        if name == "scenarios":
+            return tables.scenario_table(self.evidence)
         if name == "ratios":
             return self._ratios()
         if name == "slopes":
@@ -97,9 +99,6 @@
     def _text(self, name: str) -> str:
         if name == "first_limit":
             return _first_limit(self.limits.in_order())
-        if name == "scenarios":
-            files = ", ".join(short(saved.file) for saved in self.picked.scenarios.values())
-            return files or "none yet, *missing*"
         raise KeyError(name)
 
     def _measured(self, name: str, version: str) -> str:
--- a/scale/report/roles.py
+++ b/scale/report/roles.py
@@ -122,6 +122,17 @@
                 *both(entry.map(lambda each: each * TARGETS.backends / MEGABYTE), "MB"),
                 f"{TARGETS.control_mb:g} MB, all control",
             ),
+            Row(
+                "all control traffic, in the scenario's fleet",
+                Cell(self.evidence.scenario("idle_control_bytes_per_s"), "B/s", note="no change"),
+                Cell(self.evidence.scenario("control_bytes_per_s"), "B/s", note="under load"),
+                f"{TARGETS.control_bytes_per_s:,.0f} B/s",
+            ),
+            Row(
+                "share of a core without load, a real ingress in the scenario's fleet",
+                *both(self.evidence.scenario("real_control_cpu_share")),
+                f"{TARGETS.control_core_share:g}",
+            ),
             Row(
                 "resident memory of the module's state",
                 *both(evidence.together("resident_mb", "backends", "ingresses", "tenants"), "MB"),
--- a/scale/report/tables.py
+++ b/scale/report/tables.py
@@ -9,9 +9,10 @@
 from scale.report.fits import Growth, Line, PowerLaw
 from scale.report.limits import Limit
 from scale.report.measures import ALL as MEASURED_DIMENSIONS
-from scale.report.measures import MEASURES
+from scale.report.measures import MEASURES, SCENARIO_MEASURES
 from scale.report.rows import Row, short
 from scale.report.targets import DIMENSIONS, Entry, dimension_of
+from scale.report.versions import Saved
 
 
 def markdown(head: Sequence[str], rows: Iterable[Sequence[str]]) -> str:
@@ -43,6 +44,30 @@
     )
 
 
+def scenario_table(evidence: Evidence) -> str:
+    """What each scenario's newest run measured, at its own sizes."""
+    runs = list(evidence.picked.scenarios.values())
+    if not runs:
+        return "No scenario was run yet: *missing*."
+    head = ["what", *(f"{short(run.file)}, {_sizes(run)}" for run in runs)]
+    rows = [[MEASURES[name].text, *(_last(run, name) for run in runs)] for name in SCENARIO_MEASURES]
+    return markdown(head, rows)
+
+
+def _sizes(run: Saved) -> str:
+    sizes = run.result.points[-1].sizes if run.result.points else {}
+    return ", ".join(
+        f"{sizes[name]:,.0f} {name}" for name in ("ingresses", "backends", "tenants") if name in sizes
+    )
+
+
+def _last(run: Saved, measure: str) -> str:
+    values = [point.measures[measure] for point in run.result.points if measure in point.measures]
+    if not values:
+        return "not measured"
+    return f"{number(values[-1])} {MEASURES[measure].unit}".strip()
+
+
 def describe_growth(growth: Growth | None) -> str:
     """How a measure grows, in a few characters: the exponent, or the slope of the line."""
     if growth is None:
