--- a/scale/report/tables.py
+++ b/scale/report/tables.py
@@ -56,9 +56,8 @@
 
 def _sizes(run: Saved) -> str:
     sizes = run.result.points[-1].sizes if run.result.points else {}
-    return ", ".join(
-        f"{sizes[name]:,.0f} {name}" for name in ("ingresses", "backends", "tenants") if name in sizes
-    )
+    shown = [name for name in ("ingresses", "backends", "tenants") if name in sizes]
+    return ", ".join(f"{sizes[name]:,.0f} {name}" for name in shown)
 
 
 def _last(run: Saved, measure: str) -> str:
--- a/tests/scale/test_report.py
+++ b/tests/scale/test_report.py
@@ -14,6 +14,7 @@
 from scale.report.page import read_picked
 from scale.report.plots import plot_sweep
 from scale.report.ratios import RATIOS, Corner, Ratio, measured_ratio
+from scale.report.tables import scenario_table
 from scale.report.versions import ORDER_FILE, Picked
 from scale.results import Environment, Point, Result, load, save
 
@@ -160,6 +161,20 @@
     )
 
 
+def test_the_largest_scenario_tells(tmp_path: Path) -> None:
+    for name, ingresses in (("hundreds", 400.0), ("smoke", 5.0)):
+        result = load(write_sweep(tmp_path / "made", OLD, 0, [ingresses] * 5, measure="served_share"))
+        result.kind, result.name = "run", name
+        for point in result.points:
+            point.sizes["ingresses"] = ingresses
+        save(result, tmp_path)
+    evidence = Evidence(read_picked(tmp_path))
+    figure = evidence.scenario("served_share")
+    assert (figure.mark, figure.value) == (Mark.MEASURED, 400)
+    assert scenario_table(evidence).count("400 ingresses") == 1
+    assert evidence.scenario("added_latency_p99_ms") == MISSING
+
+
 def test_ratios_come_from_two_corners(tmp_path: Path) -> None:
     path = write_sweep(tmp_path, OLD, 0, [3.0, 1.0, 2.0, 6.0, 1.0], name="acceptance")
     result = load(path)
