--- a/scale/commands/slopes.py
+++ b/scale/commands/slopes.py
@@ -28,7 +28,7 @@
               help="The checkout that is measured; by default the tool's own.")
 @click.option("--out", type=click.Path(file_okay=False, path_type=Path), default=FOLDER,
               help="The folder for the results.")
-@click.option("--points-budget", type=click.FloatRange(min=0.1), default=8.0, show_default=True,
+@click.option("--points-budget", type=click.FloatRange(min=0.1), default=4.0, show_default=True,
               help="CPU seconds for the timed part of a point.")
 @click.option("--counter-capacity", type=click.FloatRange(min=0, min_open=True), show_default=True,
               default=CounterModel().calls_per_request,
--- a/scale/environment.py
+++ b/scale/environment.py
@@ -11,7 +11,7 @@
 
 import psutil
 
-from scale.errors import ScaleError
+from scale.project import PACKAGE, check_project
 from scale.results import Environment
 
 BUSY_SHARE = 0.05  # of a core: a process that uses more counts as busy
@@ -90,10 +90,9 @@
 
 def commit_of(project: Path) -> tuple[str, bool]:
     """The checkout's commit, and whether its package differs from it; `unknown` where there is no git."""
-    if not (project / "mulleinhall").is_dir():
-        raise ScaleError("--project: there is no package `mulleinhall` in it")
+    check_project(project)
     try:
         commit = _git(project, "rev-parse", "HEAD")
-        return commit, bool(_git(project, "status", "--porcelain", "--", "mulleinhall"))
+        return commit, bool(_git(project, "status", "--porcelain", "--", PACKAGE))
     except (OSError, subprocess.CalledProcessError):
         return UNKNOWN_COMMIT, True
--- a/scale/project.py
+++ b/scale/project.py
@@ -8,10 +8,18 @@
 from contextlib import contextmanager
 from pathlib import Path
 
+from scale.errors import ScaleError
+
 PACKAGE = "mulleinhall"
 TOOL_ROOT = Path(__file__).resolve().parent.parent
 
 
+def check_project(project: Path) -> None:
+    """Raises a ScaleError unless the package is there: else the tool's own would be measured in its place."""
+    if not (project / PACKAGE / "__init__.py").is_file():
+        raise ScaleError(f"--project: there is no package `{PACKAGE}` in it")
+
+
 @contextmanager
 def child_environment(project: Path) -> Iterator[dict[str, str]]:
     """Environment variables for children that import `scale` from here and the package from `project`.
@@ -20,6 +28,7 @@
     may hold another version of `scale`, which must not be imported.  Nothing is written to the checkout.
     Children are to be started with Python's option -P, which keeps the working directory off the path.
     """
+    check_project(project)
     with tempfile.TemporaryDirectory(prefix="scale-") as folder:
         (Path(folder) / PACKAGE).symlink_to((project / PACKAGE).resolve(), target_is_directory=True)
         path = os.pathsep.join((folder, str(TOOL_ROOT)))
--- a/scale/slopes/job.py
+++ b/scale/slopes/job.py
@@ -67,8 +67,10 @@
     sizes: Sizes
     counter: CounterModel = CounterModel()
     seed: int = 1
-    cpu_budget_s: float = Field(default=8.0, gt=0)
-    warm_up_s: float = Field(default=1.0, ge=0)  # simulated
+    cpu_budget_s: float = Field(default=4.0, gt=0)
+    # Enough for the limits of the backends in use to grow to what they are sent.
+    warm_up_requests: int = Field(default=400, ge=1)
+    operation_samples: int = Field(default=100, ge=1)  # requests whose calls are counted, at most
     measured_s: float = Field(default=6.0, gt=0)  # simulated, at most
 
 
--- a/scale/slopes/passes.py
+++ b/scale/slopes/passes.py
@@ -26,9 +26,9 @@
 NANOSECONDS_PER_US, NANOSECONDS_PER_MS = 1e3, 1e6
 LONGEST_COST, DIGITS = 10**12, 3  # of the histogram, in nanoseconds
 LEAST_SAMPLES = 5
-WARM_UP_SHARE, REQUESTS_SHARE, CHANGES_SHARE = 0.2, 0.7, 0.25  # of the CPU budget
+WARM_UP_BUDGETS, REQUESTS_SHARE, CHANGES_SHARE = 6.0, 0.7, 0.25  # of the CPU budget
 MOST_CHANGES = 40
-MOST_OPERATION_SAMPLES, OPERATION_SAMPLE_BACKENDS = 100, 200_000  # so many samples, and samples x backends
+WARM_UP_CALLS, MEASURED_CALLS = 150_000_000, 8_000_000  # bounds of the pass that counts calls
 OPERATION_CHANGES = 8
 COUNTER_BACKENDS = 60  # few: the counter's calls don't depend on them, and time passes sooner
 COUNTER_WARM_UP_S, COUNTER_MEASURED_S = 8.0, 12.0  # simulated
@@ -98,8 +98,8 @@
     job = world.job
     world.begin_requests(simulation)
     simulation.begin_changes(world.next_change, job.sizes.changes_per_s)
-    budget, warm_at = Budget(job.cpu_budget_s * WARM_UP_SHARE), simulation.now + job.warm_up_s
-    simulation.run(lambda: simulation.now >= warm_at or budget.over())
+    budget = Budget(job.cpu_budget_s * WARM_UP_BUDGETS)
+    warm_up = _warm_up(simulation, job.warm_up_requests, budget.over)
     simulation.measuring = True
     budget, began = Budget(job.cpu_budget_s * REQUESTS_SHARE), simulation.now
     account, ends_at = simulation.account, simulation.now + job.measured_s
@@ -112,11 +112,18 @@
     return {
         "request_cpu_p50_us": percentile(costs, 50) / NANOSECONDS_PER_US,
         "request_cpu_p99_us": percentile(costs, 99) / NANOSECONDS_PER_US,
-        "samples": len(costs), "simulated_s": span,
+        "warm_up_requests": warm_up, "samples": len(costs), "simulated_s": span,
         "control_cpu_share": control / 1e9 / span,  # the changes' part is added once it is known
     }
 
 
+def _warm_up(simulation: Simulation, requests: int, enough: Callable[[], bool] = lambda: False) -> int:
+    """Plays so many requests, or fewer if `enough`; how many they were."""
+    before = simulation.arrived
+    simulation.run(lambda: simulation.arrived - before >= requests or enough())
+    return simulation.arrived - before
+
+
 def _change(world: World, simulation: Simulation) -> Measures:
     """Changes of one entry, read and applied one after another."""
     budget = Budget(world.job.cpu_budget_s * CHANGES_SHARE)
@@ -139,23 +146,21 @@
     }
 
 
-def _operation_samples(backends: int) -> int:
-    return max(LEAST_SAMPLES, min(MOST_OPERATION_SAMPLES, OPERATION_SAMPLE_BACKENDS // backends))
-
-
 def measure_operations(job: Job) -> Measurement:
     """Calls of functions per request and per change: the same in each run of the same text."""
     world = World(job, job.sizes.backends)
     meter = CallMeter(world.gateway())
     simulation = world.simulation(meter)
     simulation.feed(world.whole_list(ListKind.RESTORED))
-    samples = _operation_samples(job.sizes.backends)
     world.begin_requests(simulation)
-    before = simulation.account
-    simulation.measuring = True
-    simulation.run(lambda: before.requests >= samples)
-    account = simulation.account = Account()
     meter.on = True
+    _warm_up(simulation, 1)
+    meter.on = False
+    calls_of_one = max(1, meter.last)
+    warm_up = _warm_up(simulation, max(1, min(job.warm_up_requests, WARM_UP_CALLS // calls_of_one)))
+    samples = max(LEAST_SAMPLES, min(job.operation_samples, MEASURED_CALLS // calls_of_one))
+    account = simulation.account
+    meter.on = simulation.measuring = True
     simulation.run(lambda: account.requests >= samples)
     simulation.measuring = False
     simulation.drain()
@@ -163,12 +168,12 @@
     for _ in range(OPERATION_CHANGES):
         simulation.feed(world.next_change(simulation.now))
         changes.append(meter.last)
-    # Requests that came before the counting began hold only a part of their calls: the last ones are whole.
-    costs = account.request_costs[-samples:]
+    costs = account.request_costs
     return Measurement(measures={
         "request_calls_p50": float(np.percentile(costs, 50)),
         "request_calls_p99": float(np.percentile(costs, 99)),
-        "change_calls": median(changes), "operation_samples": len(costs),
+        "change_calls": median(changes),
+        "operation_warm_up_requests": warm_up, "operation_samples": len(costs),
     })
 
 
--- a/scale/slopes/simulation.py
+++ b/scale/slopes/simulation.py
@@ -72,6 +72,7 @@
         self.meter, self.counter, self.now = meter, counter, start
         self.account = Account()
         self.measuring = False
+        self.arrived = 0  # requests so far
         self.open: dict[str, OpenRequest] = {}
         self._due: list[Due] = []
         self._number = 0
@@ -137,6 +138,7 @@
         if isinstance(event, Request):
             self.open[event.id] = OpenRequest(self.now, self.measuring)
             self.account.requests += self.measuring
+            self.arrived += 1
         actions = self.meter.handle(self.now, event)
         self._charge(event, self.meter.last)
         for action in actions:
--- a/scale/slopes/sweeps.py
+++ b/scale/slopes/sweeps.py
@@ -9,8 +9,8 @@
 FLEET = 3_400  # ingresses
 TENANTS_HERE = 500  # that one ingress meets
 QUICK_POINTS = 3
-CPU_AND_MEMORY = (Pass.TIMES, Pass.OPERATIONS, Pass.MEMORY)
-ALL_PASSES = (*CPU_AND_MEMORY, Pass.COUNTER)
+CPU = (Pass.TIMES, Pass.OPERATIONS)
+CPU_AND_MEMORY = (*CPU, Pass.MEMORY)
 
 
 @dataclass(frozen=True, slots=True)
@@ -43,30 +43,31 @@
 
 def _tenants() -> Sweep:
     counts = (5_900, 19_000, 59_000, 190_000, 590_000)
-    return Sweep("tenants", ALL_PASSES, tuple(base(tenants=n, ingresses=FLEET) for n in counts))
+    return Sweep("tenants", (*CPU_AND_MEMORY, Pass.COUNTER),
+                 tuple(base(tenants=n, ingresses=FLEET) for n in counts))
 
 
 def _services() -> Sweep:
     """The nearest that the decision module knows to a service is a class of requests in its settings."""
-    counts = (6, 20, 60, 200, 600, 2_000, 6_000)
+    counts = (6, 20, 60, 200, 600)
     return Sweep("services", CPU_AND_MEMORY, tuple(base(services=n) for n in counts))
 
 
 def _changes() -> Sweep:
     rates = (0.4, 1.2, 4.0, 12.0, 40.0)
-    return Sweep("changes_per_s", CPU_AND_MEMORY, tuple(base(changes_per_s=rate) for rate in rates))
+    return Sweep("changes_per_s", CPU, tuple(base(changes_per_s=rate) for rate in rates))
 
 
 def _acceptance() -> Sweep:
     corners = ((200, 40), (200, 200), (200, FLEET), (2_000, FLEET), (20_000, FLEET), (200_000, FLEET))
-    return Sweep("acceptance", CPU_AND_MEMORY,
+    return Sweep("acceptance", CPU,
                  tuple(base(backends=backends, ingresses=ingresses) for backends, ingresses in corners))
 
 
 SWEEPS: dict[str, Sweep] = {
     sweep.name: sweep
-    for sweep in (_acceptance(), _backends(), _ingresses("ingresses", 2_000, ALL_PASSES),
-                  _ingresses("ingresses-at-200-backends", 200, CPU_AND_MEMORY), _tenants(), _services(),
+    for sweep in (_acceptance(), _backends(), _ingresses("ingresses", 2_000, (*CPU, Pass.COUNTER)),
+                  _ingresses("ingresses-at-200-backends", 200, CPU), _tenants(), _services(),
                   _changes())
 }
 
--- /dev/null
+++ b/tests/scale/test_results.py
@@ -0,0 +1,77 @@
+"""Results: kept and read back alike, and what is no result is said to be none."""
+
+from __future__ import annotations
+
+from datetime import UTC, datetime, timedelta
+from pathlib import Path
+
+import pytest
+from click.testing import CliRunner
+
+from scale.cli import main
+from scale.environment import UNKNOWN_COMMIT, Observer, commit_of
+from scale.errors import ScaleError
+from scale.results import BadResult, Environment, Point, Result, ScenarioEvent, load, load_all, save
+
+ENVIRONMENT = Environment(cores=4, memory_gb=8.0, python="3.11.7", load_before=0.5, load_after=1.5,
+                          busy_others=0, busy_others_cores=0.0)
+TAKEN_AT = datetime(2026, 12, 2, 5, 0, tzinfo=UTC)
+
+
+def result(taken_at: datetime = TAKEN_AT) -> Result:
+    return Result(
+        kind="run", name="zone-lost", commit="0123456789abcdef", dirty=False, taken_at=taken_at, seconds=1.5,
+        environment=ENVIRONMENT, points=[Point(sizes={"backends": 2.0}, measures={"served_share": 0.99})],
+        events=[ScenarioEvent(at=1.0, kind="zone_lost", values={"backends": 3.0})])
+
+
+def test_a_result_is_read_as_it_was_kept(tmp_path: Path) -> None:
+    path = save(result(), tmp_path)
+    assert path.name == "run-zone-lost-0123456-20261202T050000Z.json"
+    assert load(path) == result()
+
+
+def test_all_results_come_the_oldest_first(tmp_path: Path) -> None:
+    later = result(TAKEN_AT + timedelta(hours=1))
+    save(later, tmp_path)
+    save(result(), tmp_path)
+    assert load_all(tmp_path) == [result(), later]
+
+
+@pytest.mark.parametrize(("text", "named"), [
+    ("{", "the file"), ("[]", "the file"), ('{"kind": "other"}', "kind"),
+    ('{"schema_version": 2}', "schema_version"),
+    (result().model_dump_json()[:-1] + ', "host": "x"}', "host")])
+def test_what_is_no_result_is_named(text: str, named: str, tmp_path: Path) -> None:
+    path = tmp_path / "slopes-x.json"
+    path.write_text(text, encoding="utf-8")
+    with pytest.raises(BadResult, match=rf"slopes-x.json: .*{named}") as caught:
+        load(path)
+    assert "\n" not in str(caught.value)
+
+
+def test_the_observer_tells_of_the_machine() -> None:
+    with Observer("a note") as observer:
+        pass
+    environment = observer.result()
+    assert environment.cores >= 1
+    assert environment.note == "a note"
+
+
+def test_a_folder_without_the_package_is_no_project(tmp_path: Path) -> None:
+    with pytest.raises(ScaleError, match="mulleinhall"):
+        commit_of(tmp_path)
+
+
+def test_a_copy_without_a_repository_has_no_commit(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setenv("GIT_CEILING_DIRECTORIES", str(tmp_path.parent))
+    (tmp_path / "mulleinhall").mkdir()
+    (tmp_path / "mulleinhall" / "__init__.py").touch()
+    assert commit_of(tmp_path) == (UNKNOWN_COMMIT, True)
+
+
+def test_an_error_of_the_users_ends_with_one_line(tmp_path: Path) -> None:
+    done = CliRunner().invoke(main, ["slopes", "--project", str(tmp_path), "--dimension", "acceptance"])
+    assert done.exit_code == 2
+    assert "mulleinhall" in done.stderr.splitlines()[-1]
+    assert "Traceback" not in done.stderr
