--- a/scale/report/figures.py
+++ b/scale/report/figures.py
@@ -9,6 +9,7 @@
 
 DIGITS = 2  # significant digits that are shown of what was measured
 COMPUTED_DIGITS = 3  # and of what follows from figures that were told
+NEARLY_ALL = 0.9
 LEAST_PLAIN = 1e-5  # below it numbers are shown with an exponent
 TEN_THOUSAND = 10_000  # from here on numbers are shown with separators
 
@@ -33,7 +34,10 @@
 
 
 def number(value: float, digits: int = DIGITS) -> str:
-    """A value as the page shows it: rounded, in words from a million on."""
+    """A value as the page shows it: rounded, in words from a million on.  A share that is nearly all shows
+    how much is not: rounded itself, 0.996 would pass for 1."""
+    if NEARLY_ALL < value < 1:
+        return f"{1 - round_to(1 - value, digits):.10g}"
     rounded = round_to(value, digits)
     for size, word in ((1e12, " trillion"), (1e9, " billion"), (1e6, " million")):
         if abs(rounded) >= size:
