--- a/scale/experiment/measures.py
+++ b/scale/experiment/measures.py
@@ -144,6 +144,7 @@
         "counter_wait_p50_ms": wait.milliseconds(50), "counter_wait_p99_ms": wait.milliseconds(99),
         "counter_unanswered_share": share(counts["counter_unanswered"], counts["counter_calls"]),
         "counter_calls_per_request": share(counts["counter_calls"], counts["requests"]),
+        "watch_cancels_repeated": float(counts["cancellations_lost"]),
         "worker_lag_p50_ms": lag.milliseconds(50), "worker_lag_p99_ms": lag.milliseconds(99),
     }
     if change_cpu.count:
--- a/scale/hollow.py
+++ b/scale/hollow.py
@@ -13,7 +13,6 @@
 import time
 from collections import Counter as Tally
 from collections import deque
-from contextlib import suppress
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -32,6 +31,7 @@
 
 MARGIN = 0.02  # s before the client's time is up: when the module's time is up, as in a real ingress
 LAG_PERIOD = 0.05  # s between two samples of a worker's lag
+CANCEL_LIMIT = 0.5  # s in which a cancelled watch ends
 DRAIN_SLACK = 2.0  # s beyond the longest deadline: what is unanswered then is lost
 SEED_STEP = 104_729  # between the seeds of two ingresses
 LIFE_STEP = 15_485_863  # between the seeds of two lives of one ingress
@@ -155,9 +155,14 @@
         self.requests.clear()
         self.counter.close()
         if self.watch is not None:
-            self.watch.cancel()
-            with suppress(asyncio.CancelledError):
-                await self.watch
+            await self._end_watch(self.watch)
+
+    async def _end_watch(self, watch: asyncio.Task[None]) -> None:
+        """A cancellation that meets a time-out of the HTTP client may be lost in it: it is repeated."""
+        watch.cancel()
+        while not (await asyncio.wait([watch], timeout=CANCEL_LIMIT))[0]:
+            self.world.counts["watch_cancels_repeated"] += 1
+            watch.cancel()
 
     # Requests
 
@@ -402,8 +407,8 @@
         for ingress in self.ingresses.values():
             self.world.counts["lost"] += len(ingress.requests)
             ingress.requests.clear()
-            await ingress.stop()
             self.finished.append(ingress.life)
+        await asyncio.gather(*(ingress.stop() for ingress in self.ingresses.values()))
         world = self.world
         return HollowReport(
             counts=dict(world.counts), lives=self.finished, cold_units=world.cold_units,
--- a/scale/standins/counter.py
+++ b/scale/standins/counter.py
@@ -13,6 +13,7 @@
 IDLE = 10.0  # s after which an idle connection is closed
 MOST_LIFE = 60.0  # s that a new name may live
 MOST_AMOUNT = 1e9
+ROUNDING = 1e-6  # calls
 LONGEST_LINE = 256  # bytes
 SWEEP = 5.0  # s between two looks for names that are over
 CONNECTIONS_EACH = 32  # of one ingress; further ones are reset
@@ -58,7 +59,7 @@
     def turn(self, now: float) -> float | None:
         """When a call that comes now is done, or None if the queue is full."""
         begins = max(now, self.free_at)
-        if (begins - now) * self.calls_per_s >= self.queue:
+        if (begins - now) * self.calls_per_s >= self.queue - ROUNDING:
             return None
         self.free_at = begins + 1 / self.calls_per_s
         return self.free_at
--- /dev/null
+++ b/tests/scale/test_scenario.py
@@ -0,0 +1,100 @@
+"""Scenarios: what is shipped can be read, what is wrong is named; the budget refuses what is too much."""
+
+from __future__ import annotations
+
+import tomllib
+from pathlib import Path
+from typing import Any
+
+import pytest
+from click.testing import CliRunner
+
+from scale import budget
+from scale.budget import GIB, Machine, Need, NotEnough
+from scale.commands.run import command
+from scale.scenario import BadScenario, Scenario, load_scenario
+
+SCENARIOS = Path(budget.__file__).parent / "scenarios"
+ROOMY = Machine(memory=64 * GIB, files=100_000)
+
+
+def toml_text(**changes: str) -> str:
+    """A small scenario, with some lines replaced."""
+    lines = {"name": '"small"', "duration_s": "1.0", "sizes": "{hollow=2, backends=3, tenants=4, "
+             "requests_per_s=1.0}", "classes": '[{name="search", aim_s=0.5, deadline_s=1.0}]',
+             "plans": '[{name="basic", rate=1.0, burst=2.0}]'}
+    return "\n".join(f"{key} = {value}" for key, value in (lines | changes).items())
+
+
+def scenario(**changes: str) -> Scenario:
+    return Scenario.model_validate(tomllib.loads(toml_text(**changes)))
+
+
+@pytest.mark.parametrize("path", sorted(SCENARIOS.glob("*.toml")), ids=lambda path: path.stem)
+def test_the_shipped_scenarios_can_be_read(path: Path) -> None:
+    assert load_scenario(path).name == path.stem
+
+
+WRONG = [
+    ({"colour": "3"}, "colour"),
+    ({"duration_s": "-1.0"}, "duration_s"),
+    ({"duration_s": "inf"}, "duration_s"),
+    ({"name": '"Upper Case"'}, "name"),
+    ({"sizes": "{hollow=2, backends=3, tenants=4, requests_per_s=1.0, colour=3}"}, "sizes.colour"),
+    ({"sizes": "{hollow=2, backends=0, tenants=4, requests_per_s=1.0}"}, "sizes.backends"),
+    ({"sizes": "{hollow=0, backends=1, tenants=4, requests_per_s=1.0}"}, "sizes"),
+    ({"sizes": "{hollow=9, backends=1, tenants=4, requests_per_s=1.0}"}, "sizes.tenants"),
+    ({"classes": "[]"}, "classes"),
+    ({"plans": '[{name="basic", rate=1.0, burst=2.0, spread=3}]'}, "plans"),
+    ({"events": '[{kind="storm", at_s=0.1}]'}, "events.0"),
+    ({"events": '[{kind="zone_lost", at_s=0.1, zone=7, seconds=1.0}]'}, "events"),
+    ({"events": '[{kind="churn", at_s=2.0, share=0.1, over_s=1.0}]'}, "events"),
+    ({"duration_s": "1.0 2.0"}, "not TOML"),
+]
+
+
+@pytest.mark.parametrize(("changes", "named"), WRONG)
+def test_a_wrong_field_is_named_in_one_line(changes: dict[str, str], named: str, tmp_path: Path) -> None:
+    path = tmp_path / "wrong.toml"
+    path.write_text(toml_text(**changes), encoding="utf-8")
+    with pytest.raises(BadScenario) as caught:
+        load_scenario(path)
+    text = str(caught.value)
+    assert text.startswith("wrong.toml: ")
+    assert named in text
+    assert "\n" not in text
+
+
+def test_a_missing_file_is_an_error_of_the_scenario(tmp_path: Path) -> None:
+    result = CliRunner().invoke(command, [str(tmp_path / "none.toml")])
+    assert isinstance(result.exception, BadScenario)
+
+
+def test_a_small_scenario_fits() -> None:
+    budget.check(budget.estimate(scenario(), hollow_bytes=2**20), ROOMY)
+
+
+REFUSED: list[tuple[dict[str, Any], str]] = [
+    ({"memory": 13 * GIB, "processes": 1, "files": 1}, "memory"),
+    ({"memory": 1, "processes": 201, "files": 1}, "processes"),
+    ({"memory": 1, "processes": 1, "files": 100_001}, "descriptors"),
+]
+
+
+@pytest.mark.parametrize(("need", "named"), REFUSED)
+def test_what_is_too_much_is_refused_by_name(need: dict[str, Any], named: str) -> None:
+    with pytest.raises(NotEnough, match=named):
+        budget.check(Need(**need), ROOMY)
+
+
+def test_memory_that_others_hold_is_not_counted_on() -> None:
+    with pytest.raises(NotEnough, match="available"):
+        budget.check(Need(memory=GIB, processes=1, files=1), Machine(memory=GIB, files=100))
+
+
+def test_the_estimate_grows_with_the_ingresses_and_their_memory() -> None:
+    small, large = scenario(), scenario(
+        sizes="{hollow=200, backends=3, tenants=400, requests_per_s=1.0}")
+    assert budget.estimate(large, 2**20).memory > budget.estimate(small, 2**20).memory + 150 * 2**20
+    assert budget.estimate(small, 2**24).memory > budget.estimate(small, 2**20).memory
+    assert budget.estimate(large, 2**20).files > budget.estimate(small, 2**20).files
