--- a/scale/cli.py
+++ b/scale/cli.py
@@ -4,7 +4,9 @@
 
 import importlib
 import pkgutil
+import signal
 import sys
+from types import FrameType
 
 import click
 
@@ -13,6 +15,12 @@
 from scale.log import configure
 
 USER_ERROR = 2  # exit code
+SIGNALLED = 128  # exit code, plus the signal's number
+
+
+def _end(number: int, frame: FrameType | None) -> None:
+    """SIGTERM ends the program as an error does, so that what it has started ends with it."""
+    sys.exit(SIGNALLED + number)
 
 
 class LazyGroup(click.Group):
@@ -45,3 +53,4 @@
 def main(verbose: bool) -> None:
     """Measures how the costs of an ingress grow with the size of its fleet."""
     configure(verbose)
+    signal.signal(signal.SIGTERM, _end)
--- /dev/null
+++ b/scale/slopes/passes/operations.py
@@ -0,0 +1,47 @@
+"""Calls of functions per request and per change: the same in each run of the same text."""
+
+from __future__ import annotations
+
+from statistics import median
+
+import numpy as np
+
+from mulleinhall.interface import ListKind
+from scale.slopes.job import Job, Measurement
+from scale.slopes.meters import CallMeter
+from scale.slopes.passes.common import LEAST_SAMPLES, warm_up
+from scale.slopes.world import World
+
+WARM_UP_CALLS, MEASURED_CALLS = 150_000_000, 8_000_000  # bounds, for the largest sizes
+CHANGES = 8
+
+
+def measure_operations(job: Job) -> Measurement:
+    """Calls of functions per request and per change: the same in each run of the same text."""
+    world = World(job, job.sizes.backends)
+    meter = CallMeter(world.gateway())
+    simulation = world.simulation(meter)
+    simulation.feed(world.whole_list(ListKind.RESTORED))
+    world.begin_requests(simulation)
+    meter.on = True
+    warm_up(simulation, 1)
+    meter.on = False
+    calls_of_one = max(1, meter.last)
+    warmed_up = warm_up(simulation, max(1, min(job.warm_up_requests, WARM_UP_CALLS // calls_of_one)))
+    samples = max(LEAST_SAMPLES, min(job.operation_samples, MEASURED_CALLS // calls_of_one))
+    account = simulation.account
+    meter.on = simulation.measuring = True
+    simulation.run(lambda: account.requests >= samples)
+    simulation.measuring = False
+    simulation.drain()
+    changes: list[int] = []
+    for _ in range(CHANGES):
+        simulation.feed(world.next_change(simulation.now))
+        changes.append(meter.last)
+    costs = account.request_costs
+    return Measurement(measures={
+        "request_calls_p50": float(np.percentile(costs, 50)),
+        "request_calls_p99": float(np.percentile(costs, 99)),
+        "change_calls": median(changes),
+        "operation_warm_up_requests": warmed_up, "operation_samples": len(costs),
+    })
--- a/scale/slopes/runner.py
+++ b/scale/slopes/runner.py
@@ -53,13 +53,21 @@
                 self._measured[key] = self._measure(measuring, sizes)
             measures |= self._measured[key]
             progress()
-        return Point(sizes=sizes.model_dump(), measures=measures)
+        return Point(sizes=sizes.model_dump(), measures=measures | _derived(measures, sizes))
 
     def _measure(self, measuring: Pass, sizes: Sizes) -> dict[str, float]:
         job = Job(measuring=measuring, sizes=sizes, counter=self.counter, cpu_budget_s=self.cpu_budget_s)
         return run_job(job, self.project).measures
 
 
+def _derived(measures: dict[str, float], sizes: Sizes) -> dict[str, float]:
+    """Bytes of control at one ingress: what the counter and the list's changes say, without any headers."""
+    if not {"counter_bytes_per_s", "change_bytes"} <= measures.keys():
+        return {}
+    changes = sizes.changes_per_s * measures["change_bytes"]
+    return {"control_bytes_per_s": measures["counter_bytes_per_s"] + changes}
+
+
 def run_job(job: Job, project: Path) -> Measurement:
     """Runs one pass in a child process; ChildFailed with the child's last line if it comes to nothing."""
     command = [sys.executable, "-P", "-m", "scale.slopes.measure"]
--- a/tests/scale/test_slopes.py
+++ b/tests/scale/test_slopes.py
@@ -3,8 +3,12 @@
 from __future__ import annotations
 
 import json
+import subprocess
+import sys
+import time
 from pathlib import Path
 
+import psutil
 import pytest
 
 from mulleinhall.interface import Count, Outcome, Readiness
@@ -13,7 +17,8 @@
 from scale.slopes.counter import CounterStandIn
 from scale.slopes.job import CounterModel, Job, Pass
 from scale.slopes.listing import BackendList, find_reader
-from scale.slopes.passes import measure_memory, measure_operations
+from scale.slopes.passes.memory import measure_memory
+from scale.slopes.passes.operations import measure_operations
 from scale.slopes.runner import ChildFailed, Runner, run_job
 from scale.slopes.settings import build_settings
 from scale.slopes.sweeps import SWEEPS, Sweep, base, quick
@@ -111,3 +116,16 @@
     assert states[1].id == states[2].id
     assert states[3].started == 1_000.0
     assert len(json.loads(listing.whole())["servers"]) == 50
+
+
+def test_what_a_sweep_started_ends_with_it(tmp_path: Path) -> None:
+    command = [sys.executable, "-m", "scale", "slopes", "--dimension", "services", "--out", str(tmp_path)]
+    with subprocess.Popen(command, cwd=TOOL_ROOT, stderr=subprocess.DEVNULL) as started:
+        process, limit = psutil.Process(started.pid), time.monotonic() + 60.0
+        while not (children := process.children()) and time.monotonic() < limit:
+            time.sleep(0.01)
+        started.terminate()
+        assert started.wait(60.0) != 0
+    _, alive = psutil.wait_procs(children, timeout=10.0)
+    assert children
+    assert not alive
