--- a/scale/commands/run.py
+++ b/scale/commands/run.py
@@ -30,10 +30,11 @@
         sys.exit(INTERRUPTED)
 
 
-def _measured(scenario: Scenario, project: Path, command: str, limit: float) -> Result:
+def _measured(scenario: Scenario, project: Path, command: str, note: str, limit: float) -> Result:
     length = scenario.idle_s + scenario.duration_s
     with click.progressbar(length=round(length * 1000), label=scenario.name, file=sys.stderr) as bar:
-        options = Options(scenario, project, command, lambda seconds: bar.update(round(seconds * 1000)))
+        options = Options(scenario, project, command, note,
+                          lambda seconds: bar.update(round(seconds * 1000)))
         return _play(options, limit)
 
 
@@ -43,8 +44,10 @@
               default=budget.TOOL_ROOT, help="The checkout that is measured.")
 @click.option("--results", type=click.Path(path_type=Path, file_okay=False),
               default=budget.TOOL_ROOT / "scale" / "results", help="The folder of the result.")
+@click.option("--note", default="", help="A remark that the result keeps.")
 @click.option("--real-command", help="In place of the `run` of the project's deploy file.")
-def command(scenario_path: Path, project: Path, results: Path, real_command: str | None) -> None:
+def command(scenario_path: Path, project: Path, results: Path, note: str,
+            real_command: str | None) -> None:
     """Plays one scenario and saves its result."""
     scenario = load_scenario(scenario_path)
     project = project.resolve()
@@ -54,7 +57,7 @@
     hollow_bytes = budget.measure_hollow_bytes(scenario_path, project) if scenario.sizes.hollow else 0
     budget.check(budget.estimate(scenario, hollow_bytes), budget.Machine.here())
     limit = scenario.idle_s + scenario.duration_s + SLACK + START_EACH * scenario.sizes.ingresses
-    result = _measured(scenario, project, started, limit)
+    result = _measured(scenario, project, started, note, limit)
     click.echo(f"saved {save(result, results).name}")
     measures = result.points[0].measures
     for name in sorted(measures):
--- a/scale/experiment/runner.py
+++ b/scale/experiment/runner.py
@@ -68,6 +68,7 @@
     scenario: Scenario
     project: Path
     real_command: str
+    note: str = ""
     progress: Progress = lambda seconds: None
 
 
@@ -93,7 +94,7 @@
         commit, dirty = commit_of(self.options.project)
         taken_at, began = now(), time.monotonic()
         async with AsyncExitStack() as stack:
-            with Observer() as observer:
+            with Observer(self.options.note) as observer:
                 measures, timeline = await self._phases(stack)
         point = Point(sizes=self._sizes(), measures={key: round(value, 6) for key, value in measures.items()})
         return Result(kind="run", name=self.scenario.name, commit=commit, dirty=dirty, taken_at=taken_at,
--- /dev/null
+++ b/tests/scale/test_hollow.py
@@ -0,0 +1,131 @@
+"""Hollow ingresses hold the decision module to one final answer a request."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Callable
+
+import pytest
+
+import mulleinhall.interface as api
+from scale import hollow
+from scale.experiment.messages import HollowReport, StartHollow
+from scale.scenario import Scenario
+from scale.standins.agent import Agent, Entry, Registry
+from scale.standins.counter import CounterServer
+from tests.peers import run, until
+
+SCENARIO = Scenario.model_validate({
+    "name": "one", "duration_s": 1.0,
+    "sizes": {"hollow": 1, "backends": 2, "zones": 1, "tenants": 10, "requests_per_s": 200.0},
+    "backend": {"latency_ms": 1.0},
+    "classes": [{"name": "search", "aim_s": 0.1, "deadline_s": 0.2}],
+    "plans": [{"name": "basic", "rate": 1000.0, "burst": 1000.0}]})
+ENTRIES = [Entry(name, ("127.0.0.1", 9), "zone-0") for name in ("b0", "b1")]
+Decide = Callable[[api.Event], list[api.Action]]
+
+
+def refuse_twice(event: api.Event) -> list[api.Action]:
+    return [api.Refuse(event.id), api.Refuse(event.id)] if isinstance(event, api.Request) else []
+
+
+def do_nothing(event: api.Event) -> list[api.Action]:
+    return []
+
+
+def send_on(event: api.Event) -> list[api.Action]:
+    return [api.Send(event.id, "b0", 1.0)] if isinstance(event, api.Request) else []
+
+
+def send_nowhere(event: api.Event) -> list[api.Action]:
+    if isinstance(event, api.Request):
+        return [api.Send(event.id, "unknown", 1.0)]
+    if isinstance(event, api.AttemptEnded) and event.outcome is api.Outcome.CONNECT_FAILED:
+        return [api.Fail(event.id)]
+    return []
+
+
+async def play(decide: Decide | None, monkeypatch: pytest.MonkeyPatch) -> tuple[HollowReport, Agent]:
+    """Some requests and one change of the list at one hollow ingress, with a scripted module."""
+    class Scripted:
+        def __init__(self, settings: api.Settings, seed: int) -> None:
+            pass
+
+        def handle(self, now: float, event: api.Event) -> list[api.Action]:
+            return decide(event) if decide is not None else []
+
+    if decide is not None:
+        monkeypatch.setattr(hollow, "Gateway", Scripted)
+    agent, counter = Agent(Registry(ENTRIES)), CounterServer(parts=1, calls_per_s=10_000, queue=100)
+    start = StartHollow(scenario=SCENARIO, numbers=[0], agent=await agent.listen("hollow"),
+                        counter=await counter.listen(), known=agent.registry.body(None).decode())
+    worker = hollow.Worker(start)
+    await worker.start()
+    worker.load()
+    await until(lambda: worker.world.counts["requests"] >= 20 and any(c.waiting for c in agent.connections))
+    agent.publish(Entry("b2", ("127.0.0.1", 9), "zone-0"))
+    await until(lambda: worker.ingresses[0].life.acted)
+    report = await worker.finish()
+    agent.close()
+    counter.close()
+    return report, agent
+
+
+OUTCOMES: list[tuple[Decide | None, str]] = [
+    (send_on, "served"), (do_nothing, "forced"), (refuse_twice, "refused"), (send_nowhere, "failed"),
+    (None, "served")]
+
+
+@pytest.mark.parametrize(("decide", "outcome"), OUTCOMES)
+def test_each_request_ends_once(decide: Decide | None, outcome: str,
+                                monkeypatch: pytest.MonkeyPatch) -> None:
+    async def body() -> None:
+        report, _ = await play(decide, monkeypatch)
+        counts = report.counts
+        assert counts[outcome] == counts["requests"]
+        assert counts.get("duplicated", 0) == (counts["requests"] if decide is refuse_twice else 0)
+        assert counts["lost"] == 0
+
+    run(body())
+
+
+def test_a_change_is_acted_on_once_the_module_has_it(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def body() -> None:
+        report, agent = await play(None, monkeypatch)
+        (life,) = report.lives
+        (change,) = agent.published
+        assert [version for version, _ in life.acted] == [change.version]
+        assert life.born <= change.at <= life.acted[0][1]
+
+    run(body())
+
+
+def test_a_restart_is_a_new_life_that_begins_with_the_known_list(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def body() -> None:
+        agent, counter = Agent(Registry(ENTRIES)), CounterServer(parts=1, calls_per_s=10_000, queue=100)
+        start = StartHollow(scenario=SCENARIO, numbers=[0], agent=await agent.listen("hollow"),
+                            counter=await counter.listen(), known=agent.registry.body(None).decode())
+        worker = hollow.Worker(start)
+        await worker.start()
+        agent.publish(Entry("b2", ("127.0.0.1", 9), "zone-0"))
+        await until(lambda: worker.ingresses[0].life.acted)
+        await worker.restart([0])
+        await until(lambda: worker.ingresses[0].life.acted)
+        report = await worker.finish()
+        assert [life.acted[-1][0] for life in report.lives] == [2, 2]
+        assert report.lives[0].ended is not None
+        assert report.lives[0].ended <= report.lives[1].born
+        assert agent.counts["hollow"].whole_lists == 0
+        agent.close()
+        counter.close()
+
+    run(body())
+
+
+def test_the_known_list_is_read_as_the_agent_writes_it() -> None:
+    known = hollow.read_known(Registry(ENTRIES).body(None).decode())
+    assert known.kind is api.ListKind.RESTORED
+    assert known.version == 1
+    assert known.backends == tuple(
+        api.Backend(entry.id, entry.zone, entry.kind, entry.cell) for entry in ENTRIES)
+    assert json.loads(Registry(ENTRIES).body(None))["full"]
--- a/tests/scale/test_run_smoke.py
+++ b/tests/scale/test_run_smoke.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import signal
+import subprocess
 import sys
 from pathlib import Path
 
@@ -37,14 +39,26 @@
     assert {"churn_done", "zone_back", "restart_done", "discovery_back", "change"} <= kinds
 
 
-def test_a_real_ingress_that_does_not_start_ends_the_run_in_one_line(tmp_path: Path) -> None:
+@pytest.fixture
+def no_hollow(tmp_path: Path) -> Path:
+    """The smallest scenario without its hollow ingresses."""
+    path = tmp_path / "no-hollow.toml"
+    text = SMOKE.read_text(encoding="utf-8")
+    for line, replaced in (("hollow = 8", "hollow = 0"), ("spread = 2", ""), ("spread = 4", "")):
+        text = text.replace(line, replaced)
+    path.write_text(text, encoding="utf-8")
+    return path
+
+
+def test_a_real_ingress_that_does_not_start_ends_the_run_in_one_line(no_hollow: Path, tmp_path: Path) -> None:
     before = set(psutil.Process().children(recursive=True))
+    results = tmp_path / "results"
     result = CliRunner().invoke(
-        main, ["run", str(SMOKE), "--results", str(tmp_path), "--real-command", "echo no room; exit 3"])
+        main, ["run", str(no_hollow), "--results", str(results), "--real-command", "echo no room; exit 3"])
     assert result.exit_code == 2
-    assert "error: real ingress 8: ended with code 3: no room" in result.output
+    assert "error: real ingress 0: ended with code 3: no room" in result.output
     assert set(psutil.Process().children(recursive=True)) == before
-    assert not list(tmp_path.iterdir())
+    assert not results.exists()
 
 
 @pytest.mark.parametrize("missing", ["mulleinhall", ".venv"])
@@ -57,3 +71,27 @@
     assert result.exit_code == 2
     assert missing in result.output
     assert len(result.output.strip().splitlines()) == 1
+
+
+INTERRUPTIONS = [(signal.SIGINT, 8, 4), (signal.SIGTERM, 0, 3)]
+
+
+@pytest.mark.parametrize(("number", "hollow", "processes"), INTERRUPTIONS)
+def test_a_run_that_is_interrupted_ends_what_it_started(number: signal.Signals, hollow: int, processes: int,
+                                                        no_hollow: Path, tmp_path: Path) -> None:
+    """The backends, the clients and a real ingress, and the worker where there are hollow ingresses."""
+    results = tmp_path / "results"
+    scenario = SMOKE if hollow else no_hollow
+    command = [sys.executable, "-m", "scale", "run", str(scenario), "--results", str(results)]
+    run = subprocess.Popen([*command, "--real-command", REAL_COMMAND], cwd=budget.TOOL_ROOT,
+                           stdout=subprocess.PIPE, stderr=subprocess.PIPE, text=True)
+    assert run.stderr is not None
+    assert any('"event": "load"' in line for line in run.stderr)
+    children = psutil.Process(run.pid).children(recursive=True)
+    assert len(children) == processes
+    run.send_signal(number)
+    _, errors = run.communicate(timeout=20.0)
+    assert run.returncode == 130
+    assert errors.strip().splitlines()[-1].endswith("interrupted: all processes of the run were ended")
+    assert not any(child.is_running() for child in children)
+    assert not results.exists()
