scale run: a real ingress that ends by itself fails the run; smaller modules

Cause: a real ingress that died under load was told only by clients that could not reach it, and the end of the run waited for its watch. hollow.py held the ingress, its world and its worker. Change: the measure real_died counts as a violation (exit code 1); World and Worker are modules of their own.

--- a/scale/commands/run.py
+++ b/scale/commands/run.py
@@ -16,7 +16,7 @@
 from scale.results import Result, save
 from scale.scenario import Scenario, load_scenario
 
-VIOLATIONS = ("lost", "duplicated", "wrong")
+VIOLATIONS = ("lost", "duplicated", "wrong", "real_died")
 VIOLATED, INTERRUPTED = 1, 130  # exit codes
 SLACK = 180.0  # s of a run beside its phases, and more for each ingress that starts
 START_EACH = 0.3  # s
@@ -64,5 +64,5 @@
         click.echo(f"{name} {measures[name]:g}")
     broken = [name for name in VIOLATIONS if measures[name]]
     if broken:
-        click.echo(f"error: not exactly one final answer for each request: {', '.join(broken)}", err=True)
+        click.echo(f"error: not every request got its one final answer: {', '.join(broken)}", err=True)
         sys.exit(VIOLATED)
--- a/scale/experiment/hollow_process.py
+++ b/scale/experiment/hollow_process.py
@@ -23,7 +23,7 @@
 
 async def serve() -> None:
     """Plays hollow ingresses as the runner commands."""
-    from scale.hollow import Worker
+    from scale.experiment.worker import Worker
 
     worker: Worker | None = None
     async for message in commands():
--- a/scale/experiment/memory_probe.py
+++ b/scale/experiment/memory_probe.py
@@ -21,7 +21,7 @@
     from mulleinhall.logic import Gateway
     from mulleinhall.wire import read_settings
     from scale.experiment.settings import settings_of, zone_name
-    from scale.hollow import read_known
+    from scale.experiment.worker import read_known
 
     scenario = load_scenario(scenario_path)
     zones = scenario.sizes.zones
--- a/scale/experiment/runner.py
+++ b/scale/experiment/runner.py
@@ -119,7 +119,7 @@
         await self._load(timeline)
         load = (before, self._sample(parts, counter))
         self._note_memory(parts)
-        await self._settle(parts.agent)
+        await self._settle(parts)
         until = time.monotonic()
         reports = await self._finish(parts)
         return self._measure(timeline, reports, idle, load, until), timeline
@@ -221,12 +221,12 @@
         except* ScaleError as errors:
             raise _first(errors) from None
 
-    async def _settle(self, agent: Agent) -> None:
+    async def _settle(self, parts: Parts) -> None:
         """Waits until every watch has come back for what follows the last change."""
-        last = time.monotonic() + SETTLE_LIMIT
+        agent, last = parts.agent, time.monotonic() + SETTLE_LIMIT
         while time.monotonic() < last:
             watches = sum(c.waiting and c.after == agent.registry.version for c in agent.connections)
-            if watches >= self.scenario.sizes.ingresses:
+            if watches >= self.scenario.sizes.hollow + sum(i.running for i in parts.real.values()):
                 return
             await asyncio.sleep(ROUND)
 
@@ -267,6 +267,7 @@
         lives += [_life(life, agent) for life in timeline.real_lives]
         measures |= change_measures(change_delays(agent.published, lives, until))
         measures["changes"] = float(len(agent.published))
+        measures["real_died"] = float(sum(not i.running for i in timeline.parts.real.values()))
         measures["real_killed"] = float(sum(i.kills for i in timeline.parts.real.values()))
         cold = merge_cold([*(report.cold_units for report in reports.hollow), _real_cold(timeline, reports)])
         measures["cold_starts"] = float(len(cold))
--- /dev/null
+++ b/scale/experiment/worker.py
@@ -0,0 +1,108 @@
+"""The hollow ingresses of one process, and the commands that concern all of them."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections import Counter as Tally
+
+import mulleinhall.interface as api
+from mulleinhall.wire import read_settings
+from scale.experiment.messages import HollowReport, Life, StartHollow
+from scale.experiment.settings import settings_of
+from scale.experiment.world import World
+from scale.hollow import HollowIngress
+
+LAG_PERIOD = 0.05  # s between two samples of a worker's lag
+DRAIN_SLACK = 2.0  # s beyond the longest deadline: what is unanswered then is lost
+
+
+class Worker:
+    """The hollow ingresses of one process."""
+
+    def __init__(self, start: StartHollow) -> None:
+        self.start_message = start
+        self.scenario = start.scenario
+        self.world = World(start.scenario)
+        self.known = read_known(start.known)
+        self.world.learn(self.known.backends)
+        self.settings = {n: read_settings(settings_of(start.scenario, n)) for n in start.numbers}
+        self.loop = asyncio.get_running_loop()
+        self.lives: Tally[int] = Tally()
+        self.finished: list[Life] = []
+        self.ingresses: dict[int, HollowIngress] = {}
+        self.loading = False
+        self.lag_timer: asyncio.TimerHandle | None = None
+
+    async def start(self) -> None:
+        """Creates all ingresses, giving way to the loop between two of them."""
+        for number in self.start_message.numbers:
+            self._create(number)
+            await asyncio.sleep(0)
+
+    def _create(self, number: int) -> None:
+        ingress = HollowIngress(self.world, number, self.lives[number], self.start_message,
+                                self.settings[number], self.known)
+        self.lives[number] += 1
+        self.ingresses[number] = ingress
+        ingress.start()
+        if self.loading:
+            ingress.load()
+
+    def load(self) -> None:
+        """The load begins, and with it the sampling of the worker's lag."""
+        self.loading = True
+        for ingress in self.ingresses.values():
+            ingress.load()
+        self._sample_lag(self.loop.time())
+
+    def _sample_lag(self, due: float) -> None:
+        now = self.loop.time()
+        self.world.worker_lag.record(max(0.0, now - due))
+        at = now + LAG_PERIOD
+        self.lag_timer = self.loop.call_at(at, self._sample_lag, at)
+
+    def silence(self, zone: str, silent: bool) -> None:
+        """The backends of a zone are cut off, or back."""
+        if silent:
+            self.world.silent_zones.add(zone)
+        else:
+            self.world.silent_zones.discard(zone)
+
+    async def restart(self, numbers: list[int]) -> None:
+        """Some ingresses end and start anew, with the list that the fleet had at its start."""
+        for number in numbers:
+            ingress = self.ingresses.pop(number)
+            await ingress.stop()
+            self.finished.append(ingress.life)
+            self._create(number)
+
+    async def finish(self) -> HollowReport:
+        """Waits for the answers that are still out, then ends all ingresses and reports."""
+        for ingress in self.ingresses.values():
+            ingress.stop_load()
+        last = self.loop.time() + max(c.deadline_s for c in self.scenario.classes) + DRAIN_SLACK
+        while any(i.requests for i in self.ingresses.values()) and self.loop.time() < last:
+            await asyncio.sleep(0.02)
+        if self.lag_timer is not None:
+            self.lag_timer.cancel()
+        for ingress in self.ingresses.values():
+            self.world.counts["lost"] += len(ingress.requests)
+            ingress.requests.clear()
+            self.finished.append(ingress.life)
+        await asyncio.gather(*(ingress.stop() for ingress in self.ingresses.values()))
+        world = self.world
+        return HollowReport(
+            counts=dict(world.counts), lives=self.finished, cold_units=world.cold_units,
+            request_cpu=world.request_cpu.encode(), change_cpu=world.change_cpu.encode(),
+            counter_wait=world.counter_wait.encode(), worker_lag=world.worker_lag.encode())
+
+
+def read_known(body: str) -> api.BackendsChanged:
+    """A whole list in discovery's form, as the list that an ingress starts with."""
+    source = json.loads(body)
+    backends = tuple(
+        api.Backend(row["id"], row["zone"], row["kind"], row["cell"], api.Readiness(row["state"]),
+                    row["weight"], row["started_ms"] / 1000)
+        for row in source["servers"])
+    return api.BackendsChanged(api.ListKind.RESTORED, backends, source["version"])
--- /dev/null
+++ b/scale/experiment/world.py
@@ -0,0 +1,54 @@
+"""What the hollow ingresses of one process share: the backends as they are, and what is counted."""
+
+from __future__ import annotations
+
+from collections import Counter as Tally
+from dataclasses import dataclass, field
+
+import mulleinhall.interface as api
+from scale.scenario import Scenario
+from scale.standins.backends import window_of
+from scale.standins.histograms import Times
+
+
+@dataclass(slots=True)
+class World:
+    """The backends and the counts of one worker."""
+
+    scenario: Scenario
+    zones: dict[str, str] = field(default_factory=dict)
+    started: dict[str, float] = field(default_factory=dict)
+    gone: set[str] = field(default_factory=set)
+    silent_zones: set[str] = field(default_factory=set)
+    counts: Tally[str] = field(default_factory=Tally)
+    cold_units: dict[str, dict[int, float]] = field(default_factory=dict)
+    request_cpu: Times = field(default_factory=Times)
+    change_cpu: Times = field(default_factory=Times)
+    counter_wait: Times = field(default_factory=Times)
+    worker_lag: Times = field(default_factory=Times)
+
+    def learn(self, backends: tuple[api.Backend, ...]) -> None:
+        """Takes in list entries."""
+        for backend in backends:
+            self.zones[backend.id] = backend.zone
+            self.started[backend.id] = backend.started
+            if backend.readiness is api.Readiness.GONE:
+                self.gone.add(backend.id)
+            else:
+                self.gone.discard(backend.id)
+
+    def note_send(self, backend: str, units: float, now: float) -> None:
+        """Counts the load of a cold backend."""
+        started = self.started.get(backend, 0.0)
+        if started and now < started + self.scenario.backend.cold_s:
+            windows = self.cold_units.setdefault(f"{backend}@{started:.3f}", {})
+            window = window_of(now)
+            windows[window] = windows.get(window, 0.0) + units
+
+    def unreachable(self, backend: str) -> bool:
+        """Whether a connection to it is refused."""
+        return backend in self.gone or backend not in self.zones
+
+    def silent(self, backend: str) -> bool:
+        """Whether it answers nothing."""
+        return self.zones.get(backend, "") in self.silent_zones
--- a/scale/hollow.py
+++ b/scale/hollow.py
@@ -7,13 +7,10 @@
 from __future__ import annotations
 
 import asyncio
-import json
 import math
 import random
 import time
-from collections import Counter as Tally
 from collections import deque
-from dataclasses import dataclass, field
 from typing import Any
 
 import mulleinhall.interface as api
@@ -21,65 +18,17 @@
 from mulleinhall.net.clock import unix_clock
 from mulleinhall.net.counter import Counter
 from mulleinhall.net.discovery import Discovery
-from mulleinhall.wire import read_settings
-from scale.experiment.messages import HollowReport, Life, StartHollow
-from scale.experiment.settings import settings_of
-from scale.scenario import Scenario
-from scale.standins.backends import window_of
-from scale.standins.histograms import Times
+from scale.experiment.messages import Life, StartHollow
+from scale.experiment.world import World
 from scale.standins.traffic import Mix, RequestDraw
 
 MARGIN = 0.02  # s before the client's time is up: when the module's time is up, as in a real ingress
-LAG_PERIOD = 0.05  # s between two samples of a worker's lag
 CANCEL_LIMIT = 0.5  # s in which a cancelled watch ends
-DRAIN_SLACK = 2.0  # s beyond the longest deadline: what is unanswered then is lost
+ANSWER_SLACK = 2.0  # s beyond its deadline in which a second answer to a request is still noticed
 SEED_STEP = 104_729  # between the seeds of two ingresses
 LIFE_STEP = 15_485_863  # between the seeds of two lives of one ingress
 
 
-@dataclass(slots=True)
-class World:
-    """What all hollow ingresses of a worker share: the backends as they are, and what is counted."""
-
-    scenario: Scenario
-    zones: dict[str, str] = field(default_factory=dict)
-    started: dict[str, float] = field(default_factory=dict)
-    gone: set[str] = field(default_factory=set)
-    silent_zones: set[str] = field(default_factory=set)
-    counts: Tally[str] = field(default_factory=Tally)
-    cold_units: dict[str, dict[int, float]] = field(default_factory=dict)
-    request_cpu: Times = field(default_factory=Times)
-    change_cpu: Times = field(default_factory=Times)
-    counter_wait: Times = field(default_factory=Times)
-    worker_lag: Times = field(default_factory=Times)
-
-    def learn(self, backends: tuple[api.Backend, ...]) -> None:
-        """Takes in list entries."""
-        for backend in backends:
-            self.zones[backend.id] = backend.zone
-            self.started[backend.id] = backend.started
-            if backend.readiness is api.Readiness.GONE:
-                self.gone.add(backend.id)
-            else:
-                self.gone.discard(backend.id)
-
-    def note_send(self, backend: str, units: float, now: float) -> None:
-        """Counts the load of a cold backend."""
-        started = self.started.get(backend, 0.0)
-        if started and now < started + self.scenario.backend.cold_s:
-            windows = self.cold_units.setdefault(f"{backend}@{started:.3f}", {})
-            window = window_of(now)
-            windows[window] = windows.get(window, 0.0) + units
-
-    def unreachable(self, backend: str) -> bool:
-        """Whether a connection to it is refused."""
-        return backend in self.gone or backend not in self.zones
-
-    def silent(self, backend: str) -> bool:
-        """Whether it answers nothing."""
-        return self.zones.get(backend, "") in self.silent_zones
-
-
 class Attempt:
     """An attempt that is out."""
 
@@ -191,7 +140,7 @@
         if key in self.requests:
             self._final(key, "forced")
             self.feed(api.Abandoned(key))
-        self.loop.call_later(DRAIN_SLACK, self.answered.discard, key)
+        self.loop.call_later(ANSWER_SLACK, self.answered.discard, key)
 
     def _final(self, key: str, outcome: str) -> None:
         request = self.requests.pop(key, None)
@@ -333,94 +282,3 @@
         change = api.BackendsChanged(kind, tuple(listing.backends), listing.version)
         self.feed(change)
         self.life.acted.append((listing.version, time.monotonic()))
-
-
-class Worker:
-    """The hollow ingresses of one process."""
-
-    def __init__(self, start: StartHollow) -> None:
-        self.start_message = start
-        self.scenario = start.scenario
-        self.world = World(start.scenario)
-        self.known = read_known(start.known)
-        self.world.learn(self.known.backends)
-        self.settings = {n: read_settings(settings_of(start.scenario, n)) for n in start.numbers}
-        self.loop = asyncio.get_running_loop()
-        self.lives: Tally[int] = Tally()
-        self.finished: list[Life] = []
-        self.ingresses: dict[int, HollowIngress] = {}
-        self.loading = False
-        self.lag_timer: asyncio.TimerHandle | None = None
-
-    async def start(self) -> None:
-        """Creates all ingresses, giving way to the loop between two of them."""
-        for number in self.start_message.numbers:
-            self._create(number)
-            await asyncio.sleep(0)
-
-    def _create(self, number: int) -> None:
-        ingress = HollowIngress(self.world, number, self.lives[number], self.start_message,
-                                self.settings[number], self.known)
-        self.lives[number] += 1
-        self.ingresses[number] = ingress
-        ingress.start()
-        if self.loading:
-            ingress.load()
-
-    def load(self) -> None:
-        """The load begins, and with it the sampling of the worker's lag."""
-        self.loading = True
-        for ingress in self.ingresses.values():
-            ingress.load()
-        self._sample_lag(self.loop.time())
-
-    def _sample_lag(self, due: float) -> None:
-        now = self.loop.time()
-        self.world.worker_lag.record(max(0.0, now - due))
-        at = now + LAG_PERIOD
-        self.lag_timer = self.loop.call_at(at, self._sample_lag, at)
-
-    def silence(self, zone: str, silent: bool) -> None:
-        """The backends of a zone are cut off, or back."""
-        if silent:
-            self.world.silent_zones.add(zone)
-        else:
-            self.world.silent_zones.discard(zone)
-
-    async def restart(self, numbers: list[int]) -> None:
-        """Some ingresses end and start anew, with the list that the fleet had at its start."""
-        for number in numbers:
-            ingress = self.ingresses.pop(number)
-            await ingress.stop()
-            self.finished.append(ingress.life)
-            self._create(number)
-
-    async def finish(self) -> HollowReport:
-        """Waits for the answers that are still out, then ends all ingresses and reports."""
-        for ingress in self.ingresses.values():
-            ingress.stop_load()
-        last = self.loop.time() + max(c.deadline_s for c in self.scenario.classes) + DRAIN_SLACK
-        while any(i.requests for i in self.ingresses.values()) and self.loop.time() < last:
-            await asyncio.sleep(0.02)
-        if self.lag_timer is not None:
-            self.lag_timer.cancel()
-        for ingress in self.ingresses.values():
-            self.world.counts["lost"] += len(ingress.requests)
-            ingress.requests.clear()
-            self.finished.append(ingress.life)
-        await asyncio.gather(*(ingress.stop() for ingress in self.ingresses.values()))
-        world = self.world
-        return HollowReport(
-            counts=dict(world.counts), lives=self.finished, cold_units=world.cold_units,
-            request_cpu=world.request_cpu.encode(), change_cpu=world.change_cpu.encode(),
-            counter_wait=world.counter_wait.encode(), worker_lag=world.worker_lag.encode())
-
-
-def read_known(body: str) -> api.BackendsChanged:
-    """A whole list in discovery's form, as the list that an ingress starts with."""
-    source = json.loads(body)
-    backends = tuple(
-        api.Backend(row["id"], row["zone"], row["kind"], row["cell"], api.Readiness(row["state"]),
-                    row["weight"], row["started_ms"] / 1000)
-        for row in source["servers"])
-    return api.BackendsChanged(api.ListKind.RESTORED, backends, source["version"])
--- a/scale/real.py
+++ b/scale/real.py
@@ -113,7 +113,7 @@
     async def _until_serving(self) -> None:
         last = time.monotonic() + START_LIMIT
         while time.monotonic() < last:
-            if self.process is None or self.process.returncode is not None:
+            if not self.running:
                 break
             if await ping(self.address):
                 return
@@ -133,9 +133,14 @@
         text = (Path(self.folder.name) / "log").read_text(encoding="utf-8", errors="replace")
         return (text.strip().splitlines() or ["nothing logged"])[-1][:200]
 
+    @property
+    def running(self) -> bool:
+        """Whether its process runs."""
+        return self.process is not None and self.process.returncode is None
+
     def usage(self) -> Usage:
         """What it has used so far, over all its lives."""
-        if self.process is None or self.process.returncode is not None:
+        if self.process is None or not self.running:
             return Usage(self.cpu_of_earlier, 0)
         try:
             process = psutil.Process(self.process.pid)
@@ -146,7 +151,7 @@
 
     def terminate(self) -> None:
         """Begins a planned restart."""
-        if self.process is not None and self.process.returncode is None:
+        if self.process is not None and self.running:
             self.process.terminate()
 
     async def ended(self) -> bool:
@@ -167,7 +172,7 @@
 
     async def kill(self) -> None:
         """Kills the process, if it still runs."""
-        if self.process is not None and self.process.returncode is None:
+        if self.process is not None and self.running:
             with contextlib.suppress(ProcessLookupError):
                 self.process.kill()
             await self.process.wait()
--- a/tests/scale/test_hollow.py
+++ b/tests/scale/test_hollow.py
@@ -10,6 +10,7 @@
 import mulleinhall.interface as api
 from scale import hollow
 from scale.experiment.messages import HollowReport, StartHollow
+from scale.experiment.worker import Worker, read_known
 from scale.scenario import Scenario
 from scale.standins.agent import Agent, Entry, Registry
 from scale.standins.counter import CounterServer
@@ -59,7 +60,7 @@
     agent, counter = Agent(Registry(ENTRIES)), CounterServer(parts=1, calls_per_s=10_000, queue=100)
     start = StartHollow(scenario=SCENARIO, numbers=[0], agent=await agent.listen("hollow"),
                         counter=await counter.listen(), known=agent.registry.body(None).decode())
-    worker = hollow.Worker(start)
+    worker = Worker(start)
     await worker.start()
     worker.load()
     await until(lambda: worker.world.counts["requests"] >= 20 and any(c.waiting for c in agent.connections))
@@ -105,7 +106,7 @@
         agent, counter = Agent(Registry(ENTRIES)), CounterServer(parts=1, calls_per_s=10_000, queue=100)
         start = StartHollow(scenario=SCENARIO, numbers=[0], agent=await agent.listen("hollow"),
                             counter=await counter.listen(), known=agent.registry.body(None).decode())
-        worker = hollow.Worker(start)
+        worker = Worker(start)
         await worker.start()
         agent.publish(Entry("b2", ("127.0.0.1", 9), "zone-0"))
         await until(lambda: worker.ingresses[0].life.acted)
@@ -123,7 +124,7 @@
 
 
 def test_the_known_list_is_read_as_the_agent_writes_it() -> None:
-    known = hollow.read_known(Registry(ENTRIES).body(None).decode())
+    known = read_known(Registry(ENTRIES).body(None).decode())
     assert known.kind is api.ListKind.RESTORED
     assert known.version == 1
     assert known.backends == tuple(
--- a/tests/scale/test_run_smoke.py
+++ b/tests/scale/test_run_smoke.py
@@ -13,10 +13,22 @@
 
 from scale import budget
 from scale.cli import main
+from scale.commands.run import VIOLATIONS
 from scale.results import load_all
 
 SMOKE = Path(budget.__file__).parent / "scenarios" / "smoke.toml"
 REAL_COMMAND = f"exec {sys.executable} -m mulleinhall"
+ENDS_AT_THE_FIRST_REQUEST = """
+import os, socket
+
+host, port = os.environ["EDGE_LISTEN"].split(":")
+server = socket.create_server((host, int(port)))
+while True:
+    connection, _ = server.accept()
+    if b"PING" not in connection.recv(4096):
+        break
+    connection.sendall(b"+PONG\\r\\n")
+"""
 
 
 def test_the_smoke_scenario_runs_and_leaves_nothing_behind(tmp_path: Path) -> None:
@@ -30,7 +42,7 @@
     assert (saved.kind, saved.name) == ("run", "smoke")
     assert point.sizes["ingresses"] == 9
     measures = point.measures
-    assert measures["lost"] == measures["duplicated"] == measures["wrong"] == 0
+    assert [measures[name] for name in VIOLATIONS] == [0] * len(VIOLATIONS)
     assert measures["requests"] > measures["real_requests"] > 0
     assert measures["changes"] >= 6
     assert measures["change_missing"] == 0
@@ -61,6 +73,19 @@
     assert not results.exists()
 
 
+def test_a_real_ingress_that_ends_by_itself_fails_the_run(no_hollow: Path, tmp_path: Path) -> None:
+    text = no_hollow.read_text(encoding="utf-8").split("[[events]]")[0]
+    no_hollow.write_text(text.replace("duration_s = 2.5", "duration_s = 0.5"), encoding="utf-8")
+    program = tmp_path / "program.py"
+    program.write_text(ENDS_AT_THE_FIRST_REQUEST, encoding="utf-8")
+    result = CliRunner().invoke(main, ["run", str(no_hollow), "--results", str(tmp_path / "results"),
+                                       "--real-command", f"exec {sys.executable} {program}"])
+    assert result.exit_code == 1
+    (saved,) = load_all(tmp_path / "results")
+    assert saved.points[0].measures["real_died"] == 1
+    assert saved.points[0].measures["lost"] >= 1
+
+
 @pytest.mark.parametrize("missing", ["mulleinhall", ".venv"])
 def test_a_project_that_can_not_be_run_is_named(missing: str, tmp_path: Path) -> None:
     if missing == ".venv":
