Split the decision module into a package of small modules with the field's names

Cause: logic.py held customers, buckets, backends, subsetting, counter and admission in one file of 893 lines, with names of its own (Elsewhere, held, told, soon, odds) that needed explaining.

Change: mulleinhall/logic/ is a package: token_bucket, quota_estimate, ceiling, customer, request, backend, overload, balancer, peers, usage_counter, admission, gateway. `from mulleinhall.logic import Gateway` stays.

--- /dev/null
+++ b/mulleinhall/logic/customer.py
@@ -0,0 +1,105 @@
+"""What a gateway knows of one customer: its slices of the limits, its counted use, its open attempts."""
+
+from zlib import crc32
+
+import mulleinhall.interface as api
+from mulleinhall.logic.ceiling import NO_COUNT, Ceiling
+from mulleinhall.logic.common import NEVER
+from mulleinhall.logic.quota_estimate import QuotaEstimate
+from mulleinhall.logic.request import PendingRequest
+from mulleinhall.logic.token_bucket import TokenBucket
+
+FORGET_AFTER = 60.0  # s: a customer unseen this long is dropped if its buckets are full
+
+
+class CountedUse:
+    """This gateway's part in a customer's count at the shared counter."""
+
+    def __init__(self, now: float) -> None:
+        self.name = NO_COUNT
+        self.started_at = now  # when the count of this name began
+        self.own_total = 0.0  # units that this gateway added to it
+        self.others_total = 0.0  # units that the others had added when last heard of
+        self.unreported = 0.0  # units used here that were not added yet
+        self.renewed = False  # a new name, of which no total is known yet
+        self.in_debt_since = now  # since when every total stood for a bucket below zero
+        self.asked_at = NEVER  # when the call that is out was made
+
+
+class Customer:
+    """One customer: its slice of the quota, its ceiling, and the requests that wait for the counter."""
+
+    def __init__(self, request: api.Request, plan: api.Plan, now: float, process_age: float,
+                 can_learn: bool, most_units: float) -> None:
+        self.key = request.customer
+        self.hash = crc32(self.key.encode())
+        self.plan = plan
+        self.spread, self.first = max(1, request.spread), request.first
+        self.seen_at = NEVER
+        burst = plan.burst / self.spread
+        # A slice smaller than the largest request never holds one: the counter is asked first, and what
+        # cannot be asked about is sent where that pays on the mean.
+        self.thin = can_learn and plan.rate > 0 and plan.burst < self.spread * most_units
+        self.slice = TokenBucket(plan.rate / self.spread, burst, burst, now)
+        self.ceiling = Ceiling(plan, self.spread, process_age, now)
+        self.open = 0
+        self.open_limit = max(1, int(plan.open_limit / self.spread))
+        self.estimate = QuotaEstimate(plan, now, self.thin)
+        self.count = CountedUse(now)
+        self.used = 0.0  # units, reported to peers as a running total
+        self.waiting: list[PendingRequest] = []  # for the counter's answer
+
+    def resize(self, now: float, request: api.Request) -> None:
+        """The customer uses other gateways than before.  Its buckets keep their levels: new full ones would
+        let it exceed a ceiling."""
+        factor = self.spread / max(1, request.spread)
+        self.spread, self.first = max(1, request.spread), request.first
+        self.slice.rescale(now, factor)
+        self.ceiling.slice.rescale(now, factor)
+        self.open_limit = max(1, int(self.plan.open_limit / self.spread))
+
+    def forgettable(self, now: float) -> bool:
+        """Whether nothing is lost by dropping it: a new one with full buckets would be the same."""
+        if now - self.seen_at <= FORGET_AFTER or self.open or self.waiting:
+            return False
+        ceiling = self.ceiling.slice
+        return self.slice.fits(now, self.slice.capacity) and ceiling.fits(now, ceiling.capacity)
+
+    def siblings(self, settings: api.Settings) -> list[int]:
+        """The numbers of the other gateways that this customer may use."""
+        numbers = ((self.first + n) % settings.gateways for n in range(self.spread))
+        return [n for n in numbers if n != settings.number]
+
+    def slice_fits(self, now: float, units: float) -> bool:
+        """Whether the slice holds `units`; a full slice is raised to a request that is larger than it."""
+        return self.slice.fits(now, units, max(self.slice.capacity, units))
+
+    def charge(self, now: float, request: PendingRequest, reported: bool) -> None:
+        """Spends the units of a request that is sent.  What the slice borrows from the whole quota leaves
+        it empty, not in debt."""
+        request.reported_units = request.counted_units if reported else request.units
+        request.estimate_charge = min(request.units, max(0.0, self.estimate.level(now)))
+        self.estimate.own_use += request.estimate_charge
+        request.charges.append((self.slice, self.slice.take(request.units, 0.0)))
+        self.count.unreported += 0.0 if reported else request.units
+        self.used += request.units
+
+    def refund(self, request: PendingRequest) -> None:
+        """Undoes `charge` and the ceiling's charge: each bucket gets back what was taken from it."""
+        for bucket, units in request.charges:
+            bucket.refund(units)
+        self.estimate.own_use -= request.estimate_charge
+        self.count.unreported -= request.reported_units
+        self.used -= request.reported_units
+        request.charges, request.estimate_charge, request.reported_units = [], 0.0, 0.0
+
+    def under_ceiling(self, now: float, units: float) -> bool:
+        """Whether the ceiling has room for `units`."""
+        return self.ceiling.fits(now, units, self.spread, self.estimate.reported_at == now)
+
+    def settle(self, units: float) -> None:
+        """An answer told the true units: the difference is taken, or given back if negative."""
+        self.estimate.own_use += units
+        self.slice.refund(-units)
+        self.count.unreported += units
+        self.used += units
