Subsetting with bounded work: no walk over all backends or ingresses

Change: backends stand on two sorted rings (hash_ring.py); a change costs a binary search and the move of a compact array's tail. subset.py takes a gateway's subset and a reserve of 244 from its places on the rings, and counts the holders of a cold backend among the gateways whose places come right before it. Only candidates and backends with attempts out are tracked. Sums of limits, attempts out and their weights are kept up as attempts begin and end. A choice compares at most 32 of the subset, 256 of subset and reserve, and 16 drawn from all. Subsets grow where gateways are few, so that two prefer a backend on the mean: with twelve each, 3,400 gateways would leave 159,200 of 200,000 backends without any. Peer messages are parsed and written in peer_messages.py.

Tests: test_subset.py is new (31 cases, among them counts of function calls at 200 and 20,000 backends). One older test had two gateways before 40 backends and needs a subset smaller than the fleet: it has 20 now. Totals follow `set_limit`, so tests call it in place of writing the field.

--- a/mulleinhall/logic/balancer.py
+++ b/mulleinhall/logic/balancer.py
@@ -1,90 +1,99 @@
-"""The choice of a backend for an attempt."""
+"""The choice of a backend for an attempt, with an effort that does not grow with the fleet."""
 
 import random
-from zlib import crc32
 
 import mulleinhall.interface as api
-from mulleinhall.logic.backend import TrackedBackend
+from mulleinhall.logic.backend import LoadTotals, TrackedBackend
 from mulleinhall.logic.overload import AnswerTimes
 from mulleinhall.logic.request import PendingRequest
+from mulleinhall.logic.subset import Subsetting
 
-SUBSET_SIZE = 12  # backends that a gateway prefers: few enough to learn of each, many enough to lose some
 COLD_MARGIN = 0.7  # of what a cold backend bears, all gateways together
+STALL_FACTOR = 4.0  # mean answer times: a backend that holds work and is silent for longer has stalled
 LEAST_HEALTHY = 0.5  # of the backends: ejection never leaves fewer
-
-
-def ring_marks(name: str) -> tuple[int, int]:
-    """The positions of a name on the two rings.  Checksums of one name with different prefixes would keep
-    neighbours together; a multiplication (Knuth) does not."""
-    mark = crc32(name.encode())
-    return mark, mark * 0x9E3779B1 & 0xFFFFFFFF
+SUBSET_ATTEMPTS = 2  # of a request go to the subset; later ones go beyond it, as it may be lost
+MOST_COMPARED = 32  # backends of a subset that are compared for one attempt
+MOST_FALLBACK = 256  # the same where the subset has no room: of the subset and the reserve
+MOST_BEYOND = 16  # the same of all others, where the reserve has no room either
 
 
 class LoadBalancer:
-    """All backends, and what is known of them together."""
+    """All backends, and those among them that this gateway sends to: its subset and a reserve."""
 
     def __init__(self, settings: api.Settings, answer_times: AnswerTimes, rng: random.Random) -> None:
-        self.settings, self.rng = settings, rng
-        self.answer_times = answer_times
-        self.backends: dict[str, TrackedBackend] = {}
+        self.settings, self.rng, self.answer_times = settings, rng, answer_times
         self.patience = max(c.aim for c in settings.classes)
-        self.typical = 0.0  # answers a second from here for a unit of weight, when warm
-        self.done, self.done_at = 0.0, 0.0  # answers a second from here, smoothed over a cold time
-        self.ready: list[TrackedBackend] = []
-        # The place of each gateway in each ring, by number.
-        marks, numbers = [ring_marks(str(n)) for n in range(settings.gateways)], range(settings.gateways)
-        orders = [sorted(numbers, key=lambda n: marks[n][ring]) for ring in (0, 1)]
-        self.places = [{number: place for place, number in enumerate(order)} for order in orders]
-        self.shared: set[str] = set()  # the backends that were shared out last
+        self.infos: dict[str, api.Backend] = {}  # of all ready backends
+        self.subsetting = Subsetting(settings)
+        self.totals = LoadTotals()
+        self.backends: dict[str, TrackedBackend] = {}  # the candidates, and those with attempts out
         self.subset: list[TrackedBackend] = []
+        self.reserve: list[TrackedBackend] = []
+        self.available: list[TrackedBackend] = []  # the subset and the reserve
+        self.done, self.done_at = 0.0, 0.0  # answers a second from here, smoothed over a cold time
+        self.typical = 0.0  # the same for a unit of weight, when warm
 
     def change(self, event: api.BackendsChanged, now: float) -> None:
         """Applies a change of the list."""
         if event.kind is api.ListKind.UNAVAILABLE:
             return
-        named = {info.id for info in event.backends}
+        was_ready: dict[str, bool] = {}
         if event.kind is not api.ListKind.UPDATE:
-            for backend in self.backends.values():
-                backend.ready = backend.ready and backend.info.id in named
+            was_ready = dict.fromkeys(sorted(self.infos.keys() - {info.id for info in event.backends}), True)
+            for name in was_ready:
+                del self.infos[name]
         for info in event.backends:
-            if info.id not in self.backends:
-                self.backends[info.id] = TrackedBackend(info, now, self.rng.random(), ring_marks(info.id))
-            backend = self.backends[info.id]
+            was_ready.setdefault(info.id, info.id in self.infos)
+            self._apply(info, now)
+        removed = [name for name, was in was_ready.items() if was and name not in self.infos]
+        added = [name for name, was in was_ready.items() if not was and name in self.infos]
+        if removed or added:
+            self.subsetting.update(removed, added)
+            self._choose_candidates(event, now)
+
+    def _apply(self, info: api.Backend, now: float) -> None:
+        """One entry of a list."""
+        if info.readiness is api.Readiness.READY:
+            self.infos[info.id] = info
+        else:
+            self.infos.pop(info.id, None)
+        if backend := self.backends.get(info.id):
             if info.started != backend.info.started:
                 backend.restarted(now, self.rng.random())
-            backend.info, backend.ready = info, info.readiness is api.Readiness.READY
-        for name in [n for n, b in self.backends.items() if not b.ready and not b.attempts_out]:
-            if self.backends[name].info.readiness is api.Readiness.GONE or name not in named:
+            backend.info = info
+
+    def _choose_candidates(self, event: api.BackendsChanged, now: float) -> None:
+        """Tracks the subset and the reserve, and drops what is neither and holds nothing from here."""
+        subset = self.subsetting.subset()
+        candidates = dict.fromkeys(subset + self.subsetting.reserve(subset))
+        for name in [*(info.id for info in event.backends if info.id in candidates), *candidates]:
+            if name not in self.backends:
+                self.backends[name] = self._tracked(name, now)
+        for name, backend in list(self.backends.items()):
+            backend.set_available(name in candidates)
+            if not backend.available and not backend.attempts_out:
                 del self.backends[name]
-        self.ready = [b for b in self.backends.values() if b.ready]
-        self._share_out()
-
-    def _share_out(self) -> None:
-        """Which backends each gateway prefers, and so how many share each backend.  In each of two rings it
-        prefers those that come next after its place, half a subset.  Places are at equal distances, or some
-        backends would be preferred by three times as many as others.  With one ring, gateways that share a
-        backend would share most of the others too."""
-        if self.shared == (shared := {b.info.id for b in self.ready}):
-            return
-        self.shared, count = shared, len(self.ready)
-        gateways, share = self.settings.gateways, min(SUBSET_SIZE, count)
-        rings = [sorted(self.ready, key=lambda b: (b.marks[ring], b.info.id)) for ring in (0, 1)]
-        for backend in self.ready:
-            backend.holders = 0
-        for number in range(gateways):
-            subset: list[TrackedBackend] = []
-            for order, places, want in zip(rings, self.places, (share // 2, share), strict=True):
-                at = places[number] * count // gateways
-                while len(subset) < want:
-                    if order[at % count] not in subset:
-                        subset.append(order[at % count])
-                    at += 1
-            for backend in subset:
-                backend.holders += 1
-            if number == self.settings.number:
-                self.subset = subset
-        for backend in self.ready:
-            backend.preferred = backend in self.subset
+        self.subset = [self.backends[name] for name in subset]
+        self.available = [backend for backend in self.backends.values() if backend.available]
+        self.reserve = [backend for backend in self.available if backend not in self.subset]
+
+    def _tracked(self, name: str, now: float) -> TrackedBackend:
+        known = self.backends.get(name)
+        return known or TrackedBackend(self.infos[name], now, self.rng.random(), self.totals)
+
+    def begin(self, backend: TrackedBackend, key: tuple[str, int], now: float) -> None:
+        """An attempt was sent."""
+        self.backends[backend.info.id] = backend
+        backend.attempts_out[key] = now
+        self.totals.attempts_out += backend.available
+
+    def end(self, backend: TrackedBackend, key: tuple[str, int]) -> float:
+        """An attempt ended; returns when it was sent.  A backend that is no candidate is dropped then."""
+        self.totals.attempts_out -= backend.available
+        sent_at = backend.attempts_out.pop(key)
+        if not backend.available and not backend.attempts_out:
+            self.backends.pop(backend.info.id, None)
+        return sent_at
 
     def record_answer(self, now: float) -> None:
         """An answer came: the rate of answers from here."""
@@ -94,53 +103,60 @@
 
     def cold_ok(self, backend: TrackedBackend, now: float, request: PendingRequest) -> bool:
         """Whether a cold backend may get the request.  One that all gateways fill at once falls over, so
-        each that prefers it has a part: what backends carry when warm, by what a cold one bears, over as
-        many as share it."""
+        each that prefers it has a part of what it bears, by what backends carry when warm."""
         s = self.settings
-        if not backend.cold(now, s):
-            return True
-        if not backend.preferred:
-            return False
-        warm = sum(x.info.weight for x in self.ready if not x.cold(now, s))
-        if warm >= max(1e-6, LEAST_HEALTHY * sum(x.info.weight for x in self.ready)):
-            self.typical = self.done / warm  # when most are cold, what was typical before still holds
+        if not backend.cold(now, s) or backend not in self.subset:
+            return not backend.cold(now, s)
+        # The candidates are a sample of all backends.
+        warm = sum(other.info.weight for other in self.available if not other.cold(now, s))
+        if warm >= max(1e-6, LEAST_HEALTHY * sum(other.info.weight for other in self.available)):
+            # When most are cold, what was typical before still holds.
+            self.typical = self.done / (warm * (len(self.infos) / len(self.available)))
         share = s.cold_share + (1 - s.cold_share) * (now - backend.info.started) / max(s.cold_time, 1e-6)
-        typical = self.typical * backend.info.weight * s.gateways / backend.holders
-        least = 0.5 / (s.fall_time * backend.holders)
-        budget = backend.cold_budget
+        holders, budget = self.subsetting.holders(backend.info.id), backend.cold_budget
+        typical = self.typical * backend.info.weight * s.gateways / holders
+        least = 0.5 / (s.fall_time * holders)
         budget.rate = max(least, COLD_MARGIN * s.fall_factor * min(1.0, share) * typical)
         free, work = len(backend.attempts_out) < max(1.0, budget.rate), self.answer_times.work(request)
         return free and budget.fits(now, work, max(1.0, work))
 
-    def out_and_limits(self) -> tuple[int, float]:
-        """Attempts out, and the sum of the limits, over all backends that are ready."""
-        return sum(len(b.attempts_out) for b in self.ready), sum(b.limit for b in self.ready)
-
     def choose(self, request: PendingRequest, now: float) -> TrackedBackend | None:
-        """The backend for one more attempt: from the subset, else from all."""
-        return self._best(request, now, self.subset) or self._best(request, now, self.ready)
+        """The backend for one more attempt: of the subset, else of the reserve, else of a sample of all."""
+        first = self.subset if len(request.attempts) < SUBSET_ATTEMPTS else self.reserve
+        return (self._best(request, now, self._some(first, MOST_COMPARED))
+                or self._best(request, now, self._some(self.available, MOST_FALLBACK))
+                or self._best(request, now, self._beyond(now)))
+
+    def _some(self, backends: list[TrackedBackend], most: int) -> list[TrackedBackend]:
+        return backends if len(backends) <= most else self.rng.sample(backends, most)
+
+    def _beyond(self, now: float) -> list[TrackedBackend]:
+        """Backends that are no candidates, drawn from all: a whole subset and its reserve may be lost."""
+        names = self.subsetting.rings[0].names if len(self.available) < len(self.infos) else []
+        return [self._tracked(name, now) for name in self.rng.sample(names, min(MOST_BEYOND, len(names)))]
 
     def _best(self, request: PendingRequest, now: float,
               candidates: list[TrackedBackend]) -> TrackedBackend | None:
         tried = {backend.info.id for backend, _ in request.attempts}
         usable = [b for b in candidates if request.may_send(b, now, self.settings)]
-        slow = self.answer_times.slowest(self.patience)
-        healthy = [b for b in usable if not b.stalled(now, slow) and not b.ejected(now)]
-        if len(healthy) < LEAST_HEALTHY * len(usable):
-            # The cause is likely shared.  One that refuses connections at once would still draw all.
-            healthy = [b for b in usable if b in healthy or not b.unreachable]
-        best: TrackedBackend | None = None
-        best_load, mean = float("inf"), self.answer_times.mean(request.request_class)
-        for backend in healthy:
+        # One that died without a sign, or runs many times slower, would look idle up to a deadline.
+        stalled = STALL_FACTOR * max(self.answer_times.means.values(), default=self.patience)
+        healthy = {b.info.id for b in usable if b.silent_for(now) <= stalled and not b.ejected(now)}
+        # Where most are sick the cause is likely shared.  One that refuses connections would still draw all.
+        shared = len(healthy) < LEAST_HEALTHY * len(usable)
+        best, best_load = None, float("inf")
+        mean = self.answer_times.mean(request.request_class)
+        for backend in usable:
+            if backend.info.id not in healthy and (backend.unreachable or not shared):
+                continue
             if backend.info.id in tried and len(usable) > len(tried):
                 continue
             # A jam sends no answers, so nothing would tell of it but what is out for too long.
             if backend.silent_for(now) > self.patience:
                 backend.cut_limit(now, self.patience / 4)
-            if backend.full():
+            if len(backend.attempts_out) >= backend.limit:
                 continue
-            jitter = self.rng.expovariate(1.0)
-            load = backend.load(now, mean, self.patience, self.settings.zone, jitter)
+            load = backend.load(now, mean, self.patience, self.settings.zone, self.rng.expovariate(1.0))
             if load < best_load and self.cold_ok(backend, now, request):
                 best, best_load = backend, load
         if best is not None and best.cold(now, self.settings):
--- a/mulleinhall/logic/ceiling.py
+++ b/mulleinhall/logic/ceiling.py
@@ -13,8 +13,7 @@
 
     def __init__(self, plan: api.Plan, spread: int, process_age: float, now: float) -> None:
         self.plan = plan
-        # A new process must not hand out the whole ceiling again.  What stays under the quota leaves the
-        # rest of it, so part of that is available from the start.
+        # A new process must not hand out the whole ceiling again, but part of what quotas never use.
         self.reserve = RESERVE_SHARE * max(0.0, plan.ceiling_burst - plan.burst)
         filled = min(plan.ceiling_burst, self.reserve + plan.ceiling_rate * process_age)
         self.slice = TokenBucket(plan.ceiling_rate / spread, plan.ceiling_burst / spread,
@@ -23,26 +22,21 @@
         self.followed_count = NO_COUNT  # the count that `whole` follows
 
     def fits(self, now: float, units: float, spread: int, counted_now: bool) -> bool:
-        """Whether the slice holds `units`, or the whole does as the counter has just shown.
-
-        Other gateways send what their slice of the quota holds before they report it, so that much of the
-        whole is left for them."""
-        if self.slice.fits(now, units):
-            return True
+        """Whether the slice holds `units`, or the whole does as the counter has just shown.  What others may
+        send before they report it is left for them."""
         unreported = (spread - 1) * LEAST_REPORTED * self.plan.burst - self.plan.ceiling_slack / 2
-        return counted_now and self.whole.fits(now, units + max(0.0, unreported))
+        whole_fits = counted_now and self.whole.fits(now, units + max(0.0, unreported))
+        return self.slice.fits(now, units) or whole_fits
 
     def take(self, units: float) -> list[tuple[TokenBucket, float]]:
-        """Spends `units`; what the whole lends leaves the slice empty, not in debt.  Returns the charges."""
+        """Spends `units`; what the whole lends leaves the slice empty.  Returns the charges."""
         return [(self.whole, self.whole.take(units)), (self.slice, self.slice.take(units, 0.0))]
 
     def follow(self, now: float, count: int, known_since: float, others: float, increase: float,
                used: float, lost: bool) -> None:
         """Updates the whole from a count that shows `others` units used elsewhere, `increase` of them new,
-        and `used` units used here.
-
-        A new or lost count proves nothing about the time before it began, so by then the ceiling is assumed
-        to hold what a used up quota leaves of it."""
+        and `used` units used here.  A new or lost count proves nothing of the time before it began: by
+        then the ceiling is assumed to hold what a used up quota leaves of it."""
         self.whole.fits(now, 0.0)
         if self.followed_count == count and not lost:
             self.whole.level -= max(0.0, increase)
--- a/mulleinhall/logic/customer.py
+++ b/mulleinhall/logic/customer.py
@@ -1,5 +1,6 @@
 """What a gateway knows of one customer: its slices of the limits, its counted use, its open attempts."""
 
+from dataclasses import dataclass
 from zlib import crc32
 
 import mulleinhall.interface as api
@@ -12,18 +13,18 @@
 FORGET_AFTER = 60.0  # s: a customer unseen this long is dropped if its buckets are full
 
 
+@dataclass(slots=True)
 class CountedUse:
     """This gateway's part in a customer's count at the shared counter."""
 
-    def __init__(self, now: float) -> None:
-        self.name = NO_COUNT
-        self.started_at = now  # when the count of this name began
-        self.own_total = 0.0  # units that this gateway added to it
-        self.others_total = 0.0  # units that the others had added when last heard of
-        self.unreported = 0.0  # units used here that were not added yet
-        self.renewed = False  # a new name, of which no total is known yet
-        self.in_debt_since = now  # since when every total stood for a bucket below zero
-        self.asked_at = NEVER  # when the call that is out was made
+    started_at: float  # when the count of this name began
+    in_debt_since: float  # since when every total stood for a bucket below zero
+    name: int = NO_COUNT
+    own_total: float = 0.0  # units that this gateway added to it
+    others_total: float = 0.0  # units that the others had added when last heard of
+    unreported: float = 0.0  # units used here that were not added yet
+    renewed: bool = False  # a new name, of which no total is known yet
+    asked_at: float = NEVER  # when the call that is out was made
 
 
 class Customer:
@@ -31,39 +32,34 @@
 
     def __init__(self, request: api.Request, plan: api.Plan, now: float, process_age: float,
                  can_learn: bool, most_units: float) -> None:
-        self.key = request.customer
-        self.hash = crc32(self.key.encode())
-        self.plan = plan
-        self.spread, self.first = max(1, request.spread), request.first
-        self.seen_at = NEVER
+        self.key, self.hash, self.plan = request.customer, crc32(request.customer.encode()), plan
+        self.spread, self.first, self.seen_at = max(1, request.spread), request.first, NEVER
         burst = plan.burst / self.spread
-        # A slice smaller than the largest request never holds one: the counter is asked first, and what
-        # cannot be asked about is sent where that pays on the mean.
+        # A slice smaller than the largest request never holds one: the counter is asked first.
         self.thin = can_learn and plan.rate > 0 and plan.burst < self.spread * most_units
         self.slice = TokenBucket(plan.rate / self.spread, burst, burst, now)
         self.ceiling = Ceiling(plan, self.spread, process_age, now)
-        self.open = 0
-        self.open_limit = max(1, int(plan.open_limit / self.spread))
+        self.open, self.open_limit = 0, max(1, int(plan.open_limit / self.spread))
         self.estimate = QuotaEstimate(plan, now, self.thin)
-        self.count = CountedUse(now)
+        self.count = CountedUse(now, now)
         self.used = 0.0  # units, reported to peers as a running total
         self.waiting: list[PendingRequest] = []  # for the counter's answer
 
     def resize(self, now: float, request: api.Request) -> None:
-        """The customer uses other gateways than before.  Its buckets keep their levels: new full ones would
-        let it exceed a ceiling."""
+        """The customer may use other gateways than before.  New full buckets would exceed a ceiling."""
+        if (self.spread, self.first) == (max(1, request.spread), request.first):
+            return
         factor = self.spread / max(1, request.spread)
         self.spread, self.first = max(1, request.spread), request.first
-        self.slice.rescale(now, factor)
-        self.ceiling.slice.rescale(now, factor)
+        for bucket in (self.slice, self.ceiling.slice):
+            bucket.rescale(now, factor)
         self.open_limit = max(1, int(self.plan.open_limit / self.spread))
 
     def forgettable(self, now: float) -> bool:
         """Whether nothing is lost by dropping it: a new one with full buckets would be the same."""
         if now - self.seen_at <= FORGET_AFTER or self.open or self.waiting:
             return False
-        ceiling = self.ceiling.slice
-        return self.slice.fits(now, self.slice.capacity) and ceiling.fits(now, ceiling.capacity)
+        return all(bucket.fits(now, bucket.capacity) for bucket in (self.slice, self.ceiling.slice))
 
     def siblings(self, settings: api.Settings) -> list[int]:
         """The numbers of the other gateways that this customer may use."""
@@ -75,8 +71,7 @@
         return self.slice.fits(now, units, max(self.slice.capacity, units))
 
     def charge(self, now: float, request: PendingRequest, reported: bool) -> None:
-        """Spends the units of a request that is sent.  What the slice borrows from the whole quota leaves
-        it empty, not in debt."""
+        """Spends the units of a request.  What it borrows from the whole quota leaves the slice empty."""
         request.reported_units = request.counted_units if reported else request.units
         request.estimate_charge = min(request.units, max(0.0, self.estimate.level(now)))
         self.estimate.own_use += request.estimate_charge
--- a/mulleinhall/logic/gateway.py
+++ b/mulleinhall/logic/gateway.py
@@ -1,9 +1,11 @@
 """The gateway: events in, actions out.  It joins admission, choice of backend, retries and the counter."""
 
 import random
+from collections.abc import Callable
+from typing import Any
 
 import mulleinhall.interface as api
-from mulleinhall.logic.admission import Admission, Customers
+from mulleinhall.logic.admission import Admission
 from mulleinhall.logic.backend import TrackedBackend
 from mulleinhall.logic.balancer import LoadBalancer
 from mulleinhall.logic.overload import AnswerTimes, OverloadGuard
@@ -11,15 +13,14 @@
 from mulleinhall.logic.request import PendingRequest
 from mulleinhall.logic.token_bucket import TokenBucket
 from mulleinhall.logic.usage_counter import UsageCounter
+from mulleinhall.peer_messages import format_report
 
 PEER_PERIOD = 0.25  # s between two messages to peers; short beside any burst, long beside any request
-MOST_PEER_TEXT = 250  # bytes of a message to peers
 SWEEP_PERIOD = 60.0  # s between two looks for customers to forget
 RETRY_SHARE = 0.15  # further attempts for each first one, on the mean
 MOST_RETRIES_SAVED = 10.0  # of the retry budget
 LOST_FACTOR, LOST_AIM_SHARE = 8.0, 0.7  # mean answer times, and of the aim: one out longer may be lost
-SHED_BELOW = -0.1  # pressure below which there is room for what is beyond quotas but pays
-LEAST_TIMEOUT = 1e-6  # s
+ROOM_BELOW = -0.1  # pressure below which there is room for what is beyond quotas but pays
 TICK, DISCOVERY = 0, 1  # timer tokens
 
 
@@ -27,140 +28,102 @@
     """The decisions of one gateway.  `handle` takes an event and returns the actions."""
 
     def __init__(self, settings: api.Settings, seed: int) -> None:
-        self.settings = settings
-        self.rng = random.Random(seed)
+        self.settings, self.rng = settings, random.Random(seed)
         self.classes = {c.name: c for c in settings.classes}
         self.plans = {p.name: p for p in settings.plans}
         self.actions: list[api.Action] = []
         self.answer_times = AnswerTimes(settings)
         self.overload = OverloadGuard(self.answer_times, self.rng)
         self.balancer = LoadBalancer(settings, self.answer_times, self.rng)
-        self.peers = PeerReports()
-        # A receiver takes in only so many messages a second: half of that, for losses and bursts.
+        # Half of what a receiver takes in a second, for losses and bursts.
         peer_period = max(PEER_PERIOD, 2 * settings.gateways / max(1.0, settings.peer_rate))
         # Reports from all peers are worth more than a count, while they are few enough to come often.
         counting = settings.counter and not (settings.peers and peer_period <= PEER_PERIOD)
         self.period = PEER_PERIOD if counting else peer_period
+        self.peers = PeerReports(self.period)
         self.counter = UsageCounter(settings, self.rng, counting, self._emit)
-        self.customers = Customers(settings, self.counter)
-        self.admission = Admission(settings, self.counter, self.peers, self.period)
+        self.admission = Admission(settings, self.counter, self.peers)
         self.requests: dict[str, PendingRequest] = {}
         self.attempts_out: dict[tuple[str, int], tuple[PendingRequest, TrackedBackend]] = {}
         self.retry_budget = TokenBucket(0.0, MOST_RETRIES_SAVED, 1.0, 0.0)
         self.first_waits: dict[str, float] = {}  # how long clients wait for a first try, by class
         self.born_at: float | None = None
         self.incarnation = 0  # this process's start, as told to peers (ms)
-        self.asking_discovery = False
-        self.swept_at = 0.0  # when idle customers were last dropped
+        self.asking_discovery, self.swept_at = False, 0.0  # the latter: when idle customers were dropped
+        self.handlers: dict[type, Callable[[float, Any], None]] = {
+            api.Request: self._request, api.AttemptEnded: self._attempt_ended,
+            api.CounterReply: self._counter_replied, api.PeerMessage: self._peer_reported,
+            api.BackendsChanged: self._backends_changed, api.Timer: self._timer,
+            api.Abandoned: self._abandoned, api.StreamStarted: self._stream_started}
 
     def handle(self, now: float, event: api.Event) -> list[api.Action]:
         """Takes an event at `now` (s, never less than before) and returns what to do about it."""
         self.actions = []
         if self.born_at is None:
             self._start(now)
-        match event:
-            case api.Request():
-                self._request(now, event)
-            case api.AttemptEnded():
-                self._attempt_ended(now, event)
-            case api.CounterReply():
-                self._counter_replied(now, event)
-            case api.PeerMessage():
-                self._peer_reported(now, event)
-            case api.BackendsChanged():
-                self._backends_changed(now, event)
-            case api.Timer(token=token):
-                self._timer(now, token)
-            case api.Abandoned(id=request_id):
-                if request := self.requests.pop(request_id, None):
-                    request.finished = True
-            case api.StreamStarted(id=request_id):
-                if request := self.requests.get(request_id):
-                    request.deadline = float("inf")
+        if handler := self.handlers.get(type(event)):
+            handler(now, event)
         return self.actions
 
     def _emit(self, action: api.Action) -> None:
         self.actions.append(action)
 
     def _start(self, now: float) -> None:
-        self.born_at = now
-        self.incarnation = int(now * 1000)
-        self.counter.answered_at = now  # the counter is thought to be there, but crowded
+        self.born_at, self.incarnation = now, int(now * 1000)
+        self.counter.answered_at = now  # assume that it is there, but crowded
         self._emit(api.SetTimer(self.period * self.rng.random(), TICK))
         if self.settings.ask_discovery:
             self._emit(api.Subscribe())
 
-    # Admission
-
     def _request(self, now: float, event: api.Request) -> None:
-        plan = self.plans[event.plan]
-        request_class = self.classes[event.request_class]
-        customer = self.customers.find(now, event, plan, now - (self.born_at or 0.0))
-        request = PendingRequest(event, request_class, customer, now)
-        self.requests[event.id] = request
+        plan, request_class = self.plans[event.plan], self.classes[event.request_class]
+        customer = self.admission.find_customer(now, event, plan, now - (self.born_at or 0.0))
+        request = self.requests[event.id] = PendingRequest(event, request_class, customer, now)
         customer.seen_at = now
         request.too_late = self._too_late(event, request_class)
         if request.too_late and not request_class.late_worth:
             self._finish(request)
-        elif plan.rate and self._ask_counter(now, request):
+        elif (plan.rate and self.admission.wants_counter(now, request)
+              and self.counter.ask(now, customer, request, self.admission.ceiling_short(now, request))):
             customer.waiting.append(request)
         else:
             self._decide(now, request)
 
     def _too_late(self, event: api.Request, request_class: api.RequestClass) -> bool:
-        """Whether a client came again too late to be answered within the aim; its requests would take what
-        others could use in time.  What a marked retry has left tells when it began, unless its wait is cut
-        to that of a first try."""
+        """Whether a retry cannot be answered within the aim: the time it has left tells when it began."""
         if not event.repeat:
             self.first_waits[request_class.name] = event.time_left
             return False
-        first_wait = self.first_waits.get(request_class.name, 0.0)
-        if abs(event.time_left - first_wait) <= self.settings.tick:
-            return False
+        cut = abs(event.time_left - self.first_waits.get(request_class.name, 0.0)) <= self.settings.tick
         elapsed = request_class.deadline - event.time_left
-        return elapsed + self.answer_times.mean(request_class) > request_class.aim
-
-    def _ask_counter(self, now: float, request: PendingRequest) -> bool:
-        """Asks the counter about the request if that is of use; True if the request waits for an answer."""
-        if not self.admission.wants_counter(now, request):
-            return False
-        short = self.admission.ceiling_short(now, request)
-        return self.counter.ask(now, request.customer, request, short)
+        return not cut and elapsed + self.answer_times.mean(request_class) > request_class.aim
 
     def _decide(self, now: float, request: PendingRequest) -> None:
         """Inside the quota as far as is known: send.  Beyond it: refuse, or send where that pays."""
         if request.finished:
-            self.counter.withdraw(request)
-            return
+            return self.counter.withdraw(request)
         request.inside_quota = self.admission.inside_quota(now, request)
-        pressure = self._pressure(now)
-        plan = request.plan
-        pays_beyond = plan.over_worth > plan.over_cost and pressure < SHED_BELOW
-        admitted = request.inside_quota or pays_beyond
-        if plan.ceiling_rate and not request.customer.under_ceiling(now, request.units):
-            admitted = False
+        pressure, plan = self._pressure(now), request.plan
+        pays_beyond = plan.over_worth > plan.over_cost and pressure < ROOM_BELOW
+        under_ceiling = not plan.ceiling_rate or request.customer.under_ceiling(now, request.units)
+        admitted = (request.inside_quota or pays_beyond) and under_ceiling
         rank = self.overload.rank(request)
         if not admitted or pressure > rank or not self._send(now, request):
             self._finish(request)
 
     def _pressure(self, now: float) -> float:
         """The share of requests to shed; below zero there is room."""
-        return self.overload.pressure(now, *self.balancer.out_and_limits())
+        return self.overload.pressure(now, self.balancer.totals)
 
     def _finish(self, request: PendingRequest) -> None:
         """The final answer from here: refused if that does no harm, else failed."""
         request.finished = True
         self.counter.withdraw(request)
         self.requests.pop(request.id, None)
-        if not request.may_refuse():
-            self._emit(api.Fail(request.id))
-            return
         # The whole bucket refills in this time, and the client may come back through another gateway.
-        rate = request.plan.rate
-        wait = request.units / rate if rate and self.settings.retry_after else 0.0
-        self._emit(api.Refuse(request.id, wait))
-
-    # Attempts
+        advise = request.plan.rate and self.settings.retry_after
+        wait = request.units / request.plan.rate if advise else 0.0
+        self._emit(api.Refuse(request.id, wait) if request.may_refuse() else api.Fail(request.id))
 
     def _send(self, now: float, request: PendingRequest) -> bool:
         """Sends one more attempt; False if no backend may get it."""
@@ -170,25 +133,23 @@
         if not request.sent:
             self._charge_first_attempt(now, request)
         # A repeat whose connection comes up late would be none to the backend: say until when it is one.
-        windows = (sent_at + request.request_class.window - now
-                   for _, sent_at in request.maybe_run if request.request_class.window)
-        within = min(windows, default=0.0)
+        window = request.request_class.window
+        within = min((sent_at + window - now for _, sent_at in request.maybe_run if window), default=0.0)
         number = len(request.attempts)
         request.attempts.append((backend, now))
-        request.open_attempts[number] = backend
         request.maybe_run.append((backend, now))
+        request.open_attempts[number] = backend
         request.customer.open += 1
         key = request.id, number
-        backend.attempts_out[key] = now
-        self.overload.begin(now, key, request.request_class)
         self.attempts_out[key] = request, backend
-        timeout = self._attempt_timeout(now, request)
-        self._emit(api.Send(request.id, backend.info.id, max(timeout, LEAST_TIMEOUT), within))
+        self.balancer.begin(backend, key, now)
+        self.overload.begin(now, key, request.request_class)
+        timeout = max(self._attempt_timeout(now, request), 1e-6)
+        self._emit(api.Send(request.id, backend.info.id, timeout, within))
         return True
 
     def _charge_first_attempt(self, now: float, request: PendingRequest) -> None:
-        request.sent = True
-        budget = self.retry_budget
+        request.sent, budget = True, self.retry_budget
         budget.level = min(budget.capacity, budget.level + RETRY_SHARE)
         if request.plan.ceiling_rate:
             request.charges += request.customer.ceiling.take(request.units)
@@ -198,17 +159,12 @@
             request.counted_units = 0.0
 
     def _attempt_timeout(self, now: float, request: PendingRequest) -> float:
-        """Seconds until an attempt is given up.  A connection that fell silent would hold its request to the
-        end; while another attempt may follow and would still be in time, this one is given up once it is
-        far past what answers take."""
-        remaining = request.deadline - now
-        request_class = request.request_class
-        if request_class.semantics is api.Semantics.UNSAFE:
-            return remaining
-        if len(request.attempts) >= self.settings.max_attempts or self.retry_budget.level < 1:
-            return remaining
+        """Seconds until an attempt is given up: far past what answers take if another may follow in time."""
+        remaining, request_class = request.deadline - now, request.request_class
         early = max(LOST_FACTOR * self.answer_times.mean(request_class), LOST_AIM_SHARE * request_class.aim)
-        return early if early < remaining / 2 else remaining
+        may_retry = (request_class.semantics is not api.Semantics.UNSAFE
+                     and len(request.attempts) < self.settings.max_attempts and self.retry_budget.level >= 1)
+        return early if may_retry and early < remaining / 2 else remaining
 
     def _attempt_ended(self, now: float, event: api.AttemptEnded) -> None:
         key = event.id, event.attempt
@@ -216,14 +172,13 @@
         if request is None or backend is None:
             return
         request.customer.open -= 1
-        sent_at = backend.attempts_out.pop(key, now)
+        sent_at = self.balancer.end(backend, key)
         request.open_attempts.pop(event.attempt, None)
         self.overload.end(now, key)
         if event.outcome.never_ran:
             request.maybe_run.remove((backend, sent_at))
         self._learn(now, event, request, backend, sent_at)
-        if event.outcome not in (api.Outcome.MOOT, api.Outcome.CONNECT_FAILED):
-            request.reached_backend = True
+        request.reached_backend |= event.outcome not in (api.Outcome.MOOT, api.Outcome.CONNECT_FAILED)
         if event.finished or request.finished:
             request.finished = True
             self.requests.pop(event.id, None)
@@ -237,11 +192,9 @@
     def _learn(self, now: float, event: api.AttemptEnded, request: PendingRequest, backend: TrackedBackend,
                sent_at: float) -> None:
         """What an outcome tells of the backend, of answer times, and of the request's true units."""
-        request_class = request.request_class
-        mean = self.answer_times.mean(request_class)
+        request_class, mean = request.request_class, self.answer_times.mean(request.request_class)
         if event.outcome is api.Outcome.OK:
-            backend.failures = 0
-            backend.unreachable = False
+            backend.failures, backend.unreachable = 0, False
             backend.answered(now, event.latency, mean, request_class.aim)
             self.answer_times.record(request_class, event.latency)
             self.balancer.record_answer(now)
@@ -254,9 +207,7 @@
             backend.failed(now, event.outcome, self.balancer.patience)
 
     def _retry(self, now: float, request: PendingRequest, never_ran: bool) -> None:
-        """Sends a further attempt, or finishes the request.  Retries on top of a jam make it worse, so they
-        keep to spare room and to a budget.  Those that replace what never ran are outside the budget: a
-        release makes many of these at once, and they bring no work."""
+        """Retries or finishes.  Retries make a jam worse: they keep to spare room and to a budget."""
         in_time = now + self.answer_times.mean(request.request_class) < request.deadline
         useful = in_time and (never_ran or self.retry_budget.level >= 1)
         if useful and self._pressure(now) < 0 and self._send(now, request):
@@ -264,8 +215,6 @@
         else:
             self._finish(request)
 
-    # Counter, peers, discovery, timers
-
     def _counter_replied(self, now: float, event: api.CounterReply) -> None:
         customer = self.counter.answered(now, event, self.born_at or 0.0)
         if customer is None:
@@ -278,7 +227,7 @@
 
     def _peer_reported(self, now: float, event: api.PeerMessage) -> None:
         for customer_hash, units in self.peers.read(event, now, self.incarnation):
-            if customer := self.customers.by_hash.get(customer_hash):
+            if customer := self.admission.by_hash.get(customer_hash):
                 customer.estimate.record_others_use(now, units)
 
     def _backends_changed(self, now: float, event: api.BackendsChanged) -> None:
@@ -286,30 +235,35 @@
         # One more call for each failed one at most: two would flood the list's service.
         if event.kind is api.ListKind.UNAVAILABLE and not self.asking_discovery:
             self.asking_discovery = True
-            wait = self.rng.uniform(0.1, 0.25) * self.settings.ask_within
-            self._emit(api.SetTimer(wait, DISCOVERY))
+            self._emit(api.SetTimer(self.rng.uniform(0.1, 0.25) * self.settings.ask_within, DISCOVERY))
+
+    def _abandoned(self, now: float, event: api.Abandoned) -> None:
+        if request := self.requests.pop(event.id, None):
+            request.finished = True
+
+    def _stream_started(self, now: float, event: api.StreamStarted) -> None:
+        if request := self.requests.get(event.id):
+            request.deadline = float("inf")
 
-    def _timer(self, now: float, token: int) -> None:
-        if token == DISCOVERY:
+    def _timer(self, now: float, event: api.Timer) -> None:
+        if event.token == DISCOVERY:
             self.asking_discovery = False
             self._emit(api.Subscribe())
-        if token != TICK:
+        if event.token != TICK:
             return
         self._emit(api.SetTimer(self.period, TICK))
         if now - self.swept_at > SWEEP_PERIOD:
             self.swept_at = now
-            self.customers.forget_idle(now)
+            self.admission.forget_idle(now)
         self.counter.report_large_use(now)
         if not self.counter.enabled and self.settings.peers:
             self._tell_peers()
 
     def _tell_peers(self) -> None:
-        """Reports running totals, the largest unreported use first, as far as one message holds them."""
-        text = str(self.incarnation)
-        for customer in sorted(self.customers.by_key.values(), key=lambda c: -abs(c.count.unreported)):
-            row = f" {customer.hash:x}:{round(customer.used * 10)}"
-            if not customer.count.unreported or len(text) + len(row) > MOST_PEER_TEXT:
-                break
-            text += row
+        """Reports running totals, the largest unreported use first, as far as one message holds."""
+        customers = [c for c in self.admission.by_key.values() if c.count.unreported]
+        customers.sort(key=lambda customer: -abs(customer.count.unreported))
+        text, told = format_report(self.incarnation, ((c.hash, c.used) for c in customers))
+        for customer in customers[:told]:
             customer.count.unreported = 0.0
         self._emit(api.TellPeers(text))
--- a/mulleinhall/logic/overload.py
+++ b/mulleinhall/logic/overload.py
@@ -1,11 +1,12 @@
 """Overload protection: how much of the traffic to shed, and which requests first."""
 
 import random
+from bisect import bisect_left, bisect_right, insort
 from collections import deque
 from math import exp
 
 import mulleinhall.interface as api
-from mulleinhall.logic.backend import BUSY_WAIT
+from mulleinhall.logic.backend import BUSY_WAIT, LoadTotals
 from mulleinhall.logic.common import NEVER, SLOW_SMOOTHING
 from mulleinhall.logic.request import PendingRequest
 
@@ -19,18 +20,13 @@
     """Mean answer times by class, and the mean size of a request."""
 
     def __init__(self, settings: api.Settings) -> None:
-        self.least = settings.tick
+        self.least, self.mean_units = settings.tick, 1.0
         self.means: dict[str, float] = {}
-        self.mean_units = 1.0
 
     def mean(self, request_class: api.RequestClass) -> float:
         """The mean answer time (s); an eighth of the aim until an answer has come."""
         return max(self.means.get(request_class.name, request_class.aim / 8), self.least)
 
-    def slowest(self, default: float) -> float:
-        """The largest mean of all classes."""
-        return max(self.means.values(), default=default)
-
     def record(self, request_class: api.RequestClass, latency: float) -> None:
         """Learns from an answer; one later than the aim counts as the aim."""
         mean = self.means.setdefault(request_class.name, latency)
@@ -38,8 +34,9 @@
 
     def work(self, request: PendingRequest) -> float:
         """How much work a request is likely to bring, beside the mean request."""
-        means = list(self.means.values()) or [self.mean(request.request_class)]
-        relative = self.mean(request.request_class) * len(means) / sum(means)
+        mean = self.mean(request.request_class)
+        means = self.means.values() or [mean]
+        relative = mean * len(means) / sum(means)
         return relative * request.units / max(self.mean_units, 1e-6)
 
 
@@ -47,56 +44,62 @@
     """Tells a jam by how long attempts stay out, and ranks requests by their worth for the work."""
 
     def __init__(self, answer_times: AnswerTimes, rng: random.Random) -> None:
-        self.answer_times = answer_times
-        self.rng = rng
-        self.worth_per_work: deque[float] = deque(maxlen=REMEMBERED_REQUESTS)
+        self.answer_times, self.rng = answer_times, rng
+        self.worth_per_work: deque[float] = deque()  # of recent requests, the oldest first
+        self.sorted_worth: list[float] = []  # the same, in order
         # For each attempt out: when it stops to count, and its weight.
         self.attempts_out: dict[tuple[str, int], tuple[float, float]] = {}
-        self.weight_out = BUSY_WAIT
-        self.sends = 1.0
-        self.updated_at = NEVER
+        self.weight_out = 0.0  # their sum
+        self.mean_weight_out, self.sends, self.updated_at = BUSY_WAIT, 1.0, NEVER
 
     def begin(self, now: float, key: tuple[str, int], request_class: api.RequestClass) -> None:
         """An attempt was sent."""
         self.mean_wait(now)
-        self.sends += 1.0
-        self.attempts_out[key] = now + WAIT_SHED_ALL * request_class.aim, 1 / request_class.aim
+        weight = 1 / request_class.aim
+        self.attempts_out[key] = now + WAIT_SHED_ALL * request_class.aim, weight
+        self.sends, self.weight_out = self.sends + 1.0, self.weight_out + weight
 
     def end(self, now: float, key: tuple[str, int]) -> None:
         """An attempt ended."""
         self.mean_wait(now)
-        self.attempts_out.pop(key, None)
+        self._forget(key)
+
+    def _forget(self, key: tuple[str, int]) -> None:
+        _, weight = self.attempts_out.pop(key, (0.0, 0.0))
+        self.weight_out = self.weight_out - weight if self.attempts_out else 0.0
 
     def mean_wait(self, now: float) -> float:
         """The mean time that attempts stay out, in aims, by Little's law: the number out over the rate of
-        sends.  It shows a jam before any answer comes.  An attempt counts for a bounded time, so that a few
-        which never end do not look like a jam."""
+        sends.  It shows a jam before any answer.  Each counts for a bounded time: a few lost are no jam."""
         while self.attempts_out and next(iter(self.attempts_out.values()))[0] < now:
-            del self.attempts_out[next(iter(self.attempts_out))]
-        elapsed = min(now - self.updated_at, 100 * AVERAGING_TIME)
-        keep = exp(-elapsed / AVERAGING_TIME)
-        out = sum(weight for _, weight in self.attempts_out.values())
-        self.weight_out = self.weight_out * keep + (out * AVERAGING_TIME + BUSY_WAIT) * (1 - keep)
-        self.sends = self.sends * keep + (1 - keep)
-        self.updated_at = now
-        return self.weight_out / self.sends
-
-    def pressure(self, now: float, out: float, limits: float) -> float:
-        """The share of requests to shed, from `out` attempts under the sum of all `limits` and from the
-        mean time out; below zero there is room."""
-        used = out / limits if limits else 1.0
+            self._forget(next(iter(self.attempts_out)))
+        keep = exp(-min(now - self.updated_at, 100 * AVERAGING_TIME) / AVERAGING_TIME)
+        out = self.weight_out * AVERAGING_TIME + BUSY_WAIT
+        self.mean_weight_out = self.mean_weight_out * keep + out * (1 - keep)
+        self.sends, self.updated_at = self.sends * keep + (1 - keep), now
+        return self.mean_weight_out / self.sends
+
+    def pressure(self, now: float, totals: LoadTotals) -> float:
+        """The share of requests to shed, by what backends hold and by the mean time out; below 0: none."""
+        used = totals.attempts_out / totals.limit if totals.limit else 1.0
         by_limits = (used - SPARE_SHARE) / (1 - SPARE_SHARE)
         by_wait = (self.mean_wait(now) - WAIT_SHED_FROM) / (WAIT_SHED_ALL - WAIT_SHED_FROM)
         return max(by_limits, by_wait)
 
     def rank(self, request: PendingRequest) -> float:
         """The share of recent requests that are worth less for their work than this one."""
-        times = self.answer_times
+        times, cls = self.answer_times, request.request_class
         times.mean_units += (request.units - times.mean_units) * SLOW_SMOOTHING
-        cls = request.request_class
-        worth = cls.worth * (cls.late_worth if request.too_late else 1.0)
-        density = worth * request.plan.price / times.mean(cls)
+        worth = cls.worth * (cls.late_worth if request.too_late else 1.0) * request.plan.price
+        density = worth / times.mean(cls)
+        self._remember(density)
+        below = bisect_left(self.sorted_worth, density)
+        same = bisect_right(self.sorted_worth, density) - below
+        return (below + self.rng.random() * same) / len(self.sorted_worth)
+
+    def _remember(self, density: float) -> None:
+        if len(self.worth_per_work) == REMEMBERED_REQUESTS:
+            oldest = self.worth_per_work.popleft()
+            del self.sorted_worth[bisect_left(self.sorted_worth, oldest)]
         self.worth_per_work.append(density)
-        below = sum(other < density for other in self.worth_per_work)
-        same = self.worth_per_work.count(density)
-        return (below + self.rng.random() * same) / len(self.worth_per_work)
+        insort(self.sorted_worth, density)
--- a/mulleinhall/logic/peers.py
+++ b/mulleinhall/logic/peers.py
@@ -1,37 +1,41 @@
 """Reports of use from other gateways, where the deployment lets gateways send messages to each other."""
 
 import mulleinhall.interface as api
+from mulleinhall.logic.common import NEVER
+from mulleinhall.peer_messages import parse_report
 
+MISSED_REPORTS = 4  # before a peer's use counts as unknown
 
 class PeerReports:
     """For each peer: when it was heard, its process's start, and its running totals by customer."""
 
-    def __init__(self) -> None:
+    def __init__(self, period: float) -> None:
+        self.period = period  # s between two reports of a peer
         self.heard_at: dict[int, float] = {}
         self.incarnations: dict[int, int] = {}
         self.totals: dict[tuple[int, int], float] = {}
 
+    def all_heard(self, now: float, peers: list[int]) -> bool:
+        """Whether each of the peers has reported lately."""
+        heard = (self.heard_at.get(peer, NEVER) for peer in peers)
+        return now - min(heard, default=now) < MISSED_REPORTS * self.period
+
     def read(self, event: api.PeerMessage, now: float, own_incarnation: int) -> list[tuple[int, float]]:
         """The use that a message reports, as (customer's hash, units since the last report)."""
-        try:
-            start, *rows = event.text.split()
-            incarnation = int(start)
-            entries = [(int(k, 16), int(v) / 10) for k, v in (row.split(":") for row in rows)]
-        except ValueError:
+        report = parse_report(event.text)
+        if report is None:
             return []  # garbled: nothing is learned
+        incarnation = report.incarnation
         known = self.incarnations.get(event.sender, incarnation)
         if incarnation < known:
             return []  # from a process that has ended
         if incarnation > known:
             self.totals = {k: v for k, v in self.totals.items() if k[0] != event.sender}
-        self.incarnations[event.sender] = incarnation
-        self.heard_at[event.sender] = now
+        self.incarnations[event.sender], self.heard_at[event.sender] = incarnation, now
         news = []
-        for customer, total in entries:
-            # A peer's whole past must not count as use just now.  What it used before this process began is
-            # unknown; all that a later process reports counts.
-            unknown = 0.0 if incarnation >= own_incarnation else total
-            last = self.totals.get((event.sender, customer), unknown)
+        for customer, total in report.totals:
+            # What a peer used before this process began is no use just now.
+            last = self.totals.get((event.sender, customer), 0.0 if incarnation >= own_incarnation else total)
             self.totals[event.sender, customer] = max(last, total)
             if total > last:
                 news.append((customer, total - last))
--- a/mulleinhall/logic/quota_estimate.py
+++ b/mulleinhall/logic/quota_estimate.py
@@ -12,20 +12,16 @@
 class QuotaEstimate:
     """The level of the token bucket that all gateways share, as far as this gateway can tell.
 
-    A customer that uses few gateways would be refused by its local slice while the slices elsewhere are
-    full.  Reported use (from the counter or from peers) is taken off a copy of the whole bucket, which is
-    believed only for a while."""
+    Reported use (from the counter or from peers) is taken off a copy of the whole bucket, which is believed
+    only for a while."""
 
     def __init__(self, plan: api.Plan, now: float, thin: bool) -> None:
-        self.rate = plan.rate
-        self.capacity = plan.burst
-        self.thin = thin
+        self.rate, self.capacity, self.thin = plan.rate, plan.burst, thin
         self.lifetime = FRESH_SHARE * plan.burst / plan.rate if plan.rate else DEFAULT_LIFETIME
         self.base = plan.burst  # units when last updated
         self.own_use = 0.0  # units used here since then
         self.others_rate = 0.0  # units a second that the other gateways use
-        self.updated_at = now
-        self.reported_at = NEVER
+        self.updated_at, self.reported_at = now, NEVER
 
     def fresh(self, now: float) -> bool:
         """Whether the last report is recent enough to be believed."""
@@ -35,16 +31,16 @@
         """Units left if the others go on as they did; less is assumed of them the older the report is."""
         elapsed = now - self.updated_at
         effective = elapsed if self.thin else self.lifetime * (1.0 - exp(-elapsed / self.lifetime))
-        others = self.others_rate * effective
-        return min(self.capacity, self.base + self.rate * elapsed - others - self.own_use)
+        used = self.others_rate * effective + self.own_use
+        return min(self.capacity, self.base + self.rate * elapsed - used)
 
     def record_others_use(self, now: float, used: float) -> None:
         """A peer reports that `used` units were spent elsewhere since the last report."""
         elapsed = now - self.updated_at
-        level = self.base + self.rate * elapsed - self.own_use
-        self.base = max(-self.capacity, min(self.capacity, level - used))
-        self.others_rate = (self.others_rate * exp(-elapsed / self.lifetime)
-                            + used / max(elapsed, self.lifetime))
+        level = self.base + self.rate * elapsed - self.own_use - used
+        self.base = max(-self.capacity, min(self.capacity, level))
+        kept = self.others_rate * exp(-elapsed / self.lifetime)
+        self.others_rate = kept + used / max(elapsed, self.lifetime)
         self._mark_reported(now)
 
     def reset(self, now: float, level: float) -> None:
@@ -53,6 +49,4 @@
         self._mark_reported(now)
 
     def _mark_reported(self, now: float) -> None:
-        self.own_use = 0.0
-        self.updated_at = now
-        self.reported_at = now
+        self.own_use, self.updated_at, self.reported_at = 0.0, now, now
