Discovery: after a refused, failed or lost call a change is heard of within 6 s

Cause: pauses after refused calls grew to 12.8 s, while a change counts as told 6 s after discovery had it and could be reached, whatever became of the calls.

Change: MOST_CROWDED is now what is left of the 6 s beside one call that is lost, the pause after it, a call that takes its whole turn (2 s) and a margin of 0.25 s: 1.25 s. A retry asks for changes without waiting for news, so that a lost one takes 2.25 s in place of 3.5 s; GRACE 2.5 -> 2.25 s, ASK_TIMEOUT 3.0 -> 2.25 s; after a call that timed out the pause is at most 0.25 s in both modes. Backoff has full jitter while it grows and equal jitter at the bound. The HTTP calls are a module of their own (net/agent.py); Discovery takes its connection and its sleep as parameters, so that tests drive simulated time.

--- a/mulleinhall/net/discovery.py
+++ b/mulleinhall/net/discovery.py
@@ -6,30 +6,53 @@
 import json
 import logging
 import random
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
+from contextlib import AbstractAsyncContextManager
 from dataclasses import dataclass
 from ipaddress import IPv4Address
 from typing import Any
 
-import aiohttp
-
 from mulleinhall.interface import Backend, ListKind, Readiness
+from mulleinhall.net.agent import Agent, Crowded, TimedOut, Unavailable, connect
 
 log = logging.getLogger(__name__)
 
 # Guards against a connection to the agent that fell silent: meanwhile backends leave and come, and nothing
 # tells of it.  What is new comes at once, so a short wait costs no more than a small call now and then.
 WAIT_MS = 1_000  # of a watch
-GRACE = 2.5  # s: an agent answers at once, or once the wait is over; a call that waits its turn may take 2 s
-ASK_TIMEOUT = 3.0  # s for a call that does not wait, its turn included
+# A call that follows a failed one does not wait for news: that it is lost shows the sooner.
+RETRY_WAIT_MS = 1
+# What each call may take where lists are asked for: there a call waits its turn.
+TURN = 2.0  # s, at most, until a call has had its turn; beyond that it is lost
+GRACE = 2.25  # s beside the wait of a watch: the turn, and some time for the machine
+ASK_TIMEOUT = 2.25  # s for a call that does not wait
 FIRST_PAUSE = 0.1  # s, at most, before the first try after a failure; each further failure doubles it
-MOST_PAUSE = 1.0  # s, at most, while the agent is silent: to ask it costs nobody else
+MOST_PAUSE = 1.0  # s, at most, while the agent refuses connections: to ask it costs nobody else
+# A call that timed out took long enough to space the tries.
+TIMEOUT_PAUSE = 0.25  # s, at most, after it
 # Where lists are pushed no call waits its turn: an agent that has not answered by then has fallen silent, and
 # what it holds counts as told all the while, 4 s after SIGHUP or 6 s after the silence began.
 PUSHED_GRACE, PUSHED_TIMEOUT, PUSHED_PAUSE = 0.5, 1.0, 0.25  # s: in place of GRACE, ASK_TIMEOUT, MOST_PAUSE
 MOST_BYTES = 4 * 1024 * 1024  # of an answer: some ten thousand backends
-FIRST_CROWDED = 0.8  # s: the same where discovery turns calls away; each one costs the others a turn
-MOST_CROWDED = 12.8  # s: some forty ingresses then bring no more calls than it can take meanwhile
+# Whatever a call ended with, a change counts as told 6 s after discovery had it and could be reached.  From
+# the moment a call is refused, with one more call lost, where lists are asked for:
+#
+#     MOST_CROWDED + ASK_TIMEOUT + TIMEOUT_PAUSE + TURN + TOLD_MARGIN
+#       1.25       +   2.25      +    0.25       + 2.0  +    0.25      = 6.0 = TOLD_AFTER
+#
+# A pause after any other failure is at most MOST_PAUSE and stays below that; a watch that falls silent takes
+#
+#     WAIT_MS / 1000 + GRACE + TIMEOUT_PAUSE + TURN + TOLD_MARGIN
+#          1.0       + 2.25  +    0.25       + 2.0  +    0.25      = 5.75
+#
+# and where lists are pushed each of the calls takes less.
+TOLD_AFTER = 6.0  # s
+TOLD_MARGIN = 0.25  # s of it for the list to be read, and for a machine that is busy
+MOST_CROWDED = TOLD_AFTER - TOLD_MARGIN - ASK_TIMEOUT - TIMEOUT_PAUSE - TURN  # s: the longest backoff
+FIRST_CROWDED = 0.8  # s: FIRST_PAUSE where discovery turns calls away; each one costs the others a turn
+
+Sleep = Callable[[float], Awaitable[None]]
+Connect = Callable[[tuple[str, int]], AbstractAsyncContextManager[Agent]]
 
 
 @dataclass(frozen=True, slots=True)
@@ -84,38 +107,35 @@
 
 
 def pause(failures: int, crowded: bool, rng: random.Random, longest: float = MOST_PAUSE) -> float:
-    """Exponential backoff with full jitter.  Guards discovery against all ingresses at once: with equal
-    pauses they come again together, and a service that is overbooked never gets free."""
+    """Exponential backoff with full jitter, and with equal jitter where a crowded service has been backed
+    off from as far as it may be: that halves the spread, and the calls are fewer by a third.  Guards
+    discovery against all ingresses at once: with equal pauses they come again together, and a service that
+    is overbooked never gets free."""
     first, most = (FIRST_CROWDED, MOST_CROWDED) if crowded else (FIRST_PAUSE, longest)
-    return rng.uniform(0.0, min(most, first * 2.0 ** min(failures, 32)))
-
-
-class Unavailable(Exception):
-    """Discovery gave no answer; the list that is held is as good as before."""
-
-
-class Crowded(Unavailable):
-    """Discovery turned the call away."""
+    grown = first * 2.0 ** min(failures, 32)
+    if crowded and grown >= most:
+        return rng.uniform(most / 2, most)
+    return rng.uniform(0.0, min(most, grown))
 
 
 class Discovery:
     """Follows the agent for as long as `run` runs; each change goes to `told`."""
 
     def __init__(self, address: tuple[str, int], told: Callable[[ListKind, Listing], None],
-                 rng: random.Random, version: int | None = None, pushed: bool = False) -> None:
-        self.url = f"http://{address[0]}:{address[1]}/api/targets"
-        self.told, self.rng = told, rng
+                 rng: random.Random, version: int | None = None, pushed: bool = False,
+                 connect: Connect = connect, sleep: Sleep = asyncio.sleep) -> None:
+        self.address, self.told, self.rng = address, told, rng
         self.version = version  # of the list that is held here; None: ask for all of it
+        self.connect, self.sleep = connect, sleep
         self.grace, self.timeout, self.longest = (
             (PUSHED_GRACE, PUSHED_TIMEOUT, PUSHED_PAUSE) if pushed else (GRACE, ASK_TIMEOUT, MOST_PAUSE))
 
     async def run(self) -> None:
         failures = 0
-        connector = aiohttp.TCPConnector(limit=2, keepalive_timeout=60.0)
-        async with aiohttp.ClientSession(connector=connector) as session:
+        async with self.connect(self.address) as agent:
             while True:
                 try:
-                    await self._ask(session)
+                    await self._ask(agent, retry=failures > 0)
                     failures = 0
                 except Exception as error:
                     # Guards against an agent that is silent, gone or speaks nonsense, and against a fault in
@@ -125,27 +145,16 @@
                         log.warning("discovery: %s: %s", type(error).__name__, error)
                     if not isinstance(error, Unavailable):
                         self.version = None
-                    crowded = isinstance(error, Crowded)
-                    await asyncio.sleep(pause(failures, crowded, self.rng, self.longest))
+                    await self.sleep(self._pause(failures, error))
                     failures += 1
 
-    async def _ask(self, session: aiohttp.ClientSession) -> None:
-        query, limit = "", self.timeout
-        if self.version is not None:
-            query, limit = f"?after={self.version}&wait_ms={WAIT_MS}", WAIT_MS / 1000 + self.grace
-        try:
-            async with session.get(self.url + query, timeout=aiohttp.ClientTimeout(total=limit)) as answer:
-                if answer.status != 200:
-                    raise Crowded(f"status {answer.status}")
-                body = b""
-                async for part in answer.content.iter_any():
-                    body += part
-                    if len(body) > MOST_BYTES:
-                        # Guards the memory against an answer that never ends.
-                        raise ValueError("the list is too long")
-        except (aiohttp.ClientError, OSError, TimeoutError) as error:
-            raise Unavailable(f"{type(error).__name__}: {error}") from None
-        listing = read_listing(json.loads(body))
+    def _pause(self, failures: int, error: Exception) -> float:
+        longest = min(self.longest, TIMEOUT_PAUSE) if isinstance(error, TimedOut) else self.longest
+        return pause(failures, isinstance(error, Crowded), self.rng, longest)
+
+    async def _ask(self, agent: Agent, retry: bool) -> None:
+        query, limit = self._call(retry)
+        listing = read_listing(json.loads(await agent.get(query, limit, MOST_BYTES)))
         if not listing.full and (self.version is None or listing.version < self.version):
             # Guards against an agent that began anew: its changes don't apply to the list held here.
             raise ValueError(f"changes of version {listing.version} for version {self.version}")
@@ -154,3 +163,11 @@
             self.told(ListKind.REPLACE, listing)
         elif listing.backends:
             self.told(ListKind.UPDATE, listing)
+
+    def _call(self, retry: bool) -> tuple[str, float]:
+        """The query of the next call, and how long it may take."""
+        if self.version is None:
+            return "", self.timeout
+        if retry:
+            return f"?after={self.version}&wait_ms={RETRY_WAIT_MS}", self.timeout
+        return f"?after={self.version}&wait_ms={WAIT_MS}", WAIT_MS / 1000 + self.grace
