Discovery: lists of 200,000 backends, read in slices and held compactly

Cause: answers over 4 MiB were turned away (some 35,000 backends); the body was put together by copying it for each part, decoded whole, and held several times.

Strings and figures that many entries share are held once; an address is one number. The pool makes a target only when an attempt goes to the backend; a change costs the entries it has. ingress.py passes the bound on (one call).

Checks are as strict, some stricter: a zone, kind or cell of the wrong type, a weight that is a boolean, `full` that is no boolean, NaN anywhere in the answer (not JSON) were taken before. Beyond 50 malformed entries in one list the log has their number in place of a line each.

--- a/mulleinhall/net/agent.py
+++ b/mulleinhall/net/agent.py
@@ -52,15 +52,21 @@
 
 
 async def _read_body(answer: aiohttp.ClientResponse, most_bytes: int) -> bytearray:
+    if (answer.content_length or 0) > most_bytes:
+        raise _too_long(most_bytes)
     body = bytearray()
     async for part in answer.content.iter_any():
         body += part
         if len(body) > most_bytes:
             # Guards the memory against an answer that never ends.
-            raise ValueError(f"the list is too long: more than {most_bytes} bytes")
+            raise _too_long(most_bytes)
     return body
 
 
+def _too_long(most_bytes: int) -> ValueError:
+    return ValueError(f"the list is too long: more than the {most_bytes} bytes that limits.memory_mb allows")
+
+
 @asynccontextmanager
 async def connect(address: tuple[str, int]) -> AsyncIterator[Agent]:
     """A client of the agent; its connections are closed at the end."""
--- a/mulleinhall/net/backends.py
+++ b/mulleinhall/net/backends.py
@@ -7,13 +7,14 @@
 import errno
 import logging
 import socket
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from math import inf
 from typing import cast
 
 import hiredis
 
 from mulleinhall.interface import Backend, Outcome, Readiness
+from mulleinhall.net.addresses import AddressBook
 from mulleinhall.net.clock import Clock
 from mulleinhall.net.frames import BadFrame, array_end
 from mulleinhall.wire import LOADS
@@ -61,7 +62,7 @@
 
 
 class Target:
-    """One backend as the list has it, and the connections to it that are idle, the latest used last."""
+    """One backend that was sent to, and the connections to it that are idle, the latest used last."""
 
     __slots__ = ("address", "idle", "leaving", "listed")
 
@@ -219,7 +220,9 @@
         self.most, self.connect_timeout = most, connect_timeout
         self.idle_time, self.clock, self.ended = idle_time * IDLE_SHARE, clock, ended
         self.loop = asyncio.get_running_loop()
-        self.targets: dict[str, Target] = {}
+        self.addresses = AddressBook()  # of all backends that are listed
+        self.leaving: set[str] = set()  # those of them that drain
+        self.targets: dict[str, Target] = {}  # those that an attempt went to
         self.sockets = 0  # connections open or coming up
         self.noted = 0  # faults of backends
         self.held, self.most_held = 0, most_held  # bytes of answers that are not whole yet
@@ -229,34 +232,74 @@
     # The list
 
     def change(self, full: bool, backends: tuple[Backend, ...],
-               addresses: dict[str, tuple[str, int]]) -> None:
+               addresses: Mapping[str, tuple[str, int]]) -> None:
+        """Takes a whole list, or the entries that changed: that costs no more than these."""
         if full:
-            for name in self.targets.keys() - addresses.keys():
-                self._gone(name)
+            self._replace(backends, addresses)
+        else:
+            for info in backends:
+                self._update(info, addresses[info.id])
+
+    def _update(self, info: Backend, address: tuple[str, int]) -> None:
+        if info.readiness is Readiness.GONE:
+            self._gone(info.id)
+            return
+        self.addresses[info.id] = address
+        if info.readiness is Readiness.READY:
+            self.leaving.discard(info.id)
+        else:
+            self.leaving.add(info.id)
+        self._refresh(info.id)
+
+    def _replace(self, backends: tuple[Backend, ...], addresses: Mapping[str, tuple[str, int]]) -> None:
+        for name in self.targets.keys() - addresses.keys():
+            self._gone(name)
+        self.addresses = AddressBook.copy_of(addresses)
+        self.leaving.clear()
+        repeated = len(addresses) < len(backends)  # an id stands there twice: the last entry holds
         for info in backends:
-            target = self.targets.get(info.id)
-            if target is None:
-                target = self.targets[info.id] = Target(addresses[info.id])
-            elif target.address != addresses[info.id]:
-                target.address = addresses[info.id]
-                self._close_idle(target)
-            # Guards against a list that comes late: what waits for a connection would come after the grace.
-            target.leaving = info.readiness is not Readiness.READY
-            if info.readiness is Readiness.GONE:
-                self._gone(info.id)
+            if repeated or info.readiness is not Readiness.READY:
+                self._update(info, addresses[info.id])
+        for name in list(self.targets):
+            self._refresh(name)
+
+    def _refresh(self, name: str) -> None:
+        """Brings the target up to date with the list, where the backend has one."""
+        target = self.targets.get(name)
+        if target is None:
+            return
+        address = self.addresses[name]
+        if target.address != address:
+            target.address = address
+            self._close_idle(target)
+        # Guards against a list that comes late: what waits for a connection would come after the grace.
+        target.leaving = name in self.leaving
 
     def _gone(self, name: str) -> None:
         """What waits for it knows this target, and ends with it; should it come back, it is another."""
-        target = self.targets.pop(name)
-        target.listed, target.leaving = False, True
-        self._close_idle(target)
+        self.addresses.discard(name)
+        self.leaving.discard(name)
+        target = self.targets.pop(name, None)
+        if target is not None:
+            target.listed, target.leaving = False, True
+            self._close_idle(target)
+
+    def _target(self, name: str) -> Target | None:
+        """The backend's target, made when the first attempt goes to it; None if it is not listed, or is
+        leaving."""
+        if name in self.leaving or name not in self.addresses:
+            return None
+        target = self.targets.get(name)
+        if target is None:
+            target = self.targets[name] = Target(self.addresses[name])
+        return target
 
     # Attempts
 
     def start(self, attempt: Attempt) -> None:
-        target = self.targets.get(attempt.backend)
+        target = self._target(attempt.backend)
         left = attempt.deadline - attempt.sent
-        if target is None or left <= 0 or target.leaving:
+        if target is None or left <= 0:
             self.end(attempt, Outcome.CONNECT_FAILED)
             return
         attempt.timer = self.loop.call_later(left, self._overdue, attempt)
--- a/mulleinhall/net/config.py
+++ b/mulleinhall/net/config.py
@@ -8,7 +8,8 @@
 from typing import Any, TypeVar
 
 from mulleinhall.interface import Settings
-from mulleinhall.net.discovery import Listing, read_address, read_listing
+from mulleinhall.net.addresses import read_address
+from mulleinhall.net.listing import Listing, read_listing
 from mulleinhall.wire import read_settings
 
 T = TypeVar("T")
--- a/mulleinhall/net/discovery.py
+++ b/mulleinhall/net/discovery.py
@@ -3,17 +3,16 @@
 from __future__ import annotations
 
 import asyncio
-import json
 import logging
 import random
 from collections.abc import Awaitable, Callable
 from contextlib import AbstractAsyncContextManager
-from dataclasses import dataclass
-from ipaddress import IPv4Address
-from typing import Any
 
-from mulleinhall.interface import Backend, ListKind, Readiness
+from mulleinhall.interface import ListKind
 from mulleinhall.net.agent import Agent, Crowded, TimedOut, Unavailable, connect
+from mulleinhall.net.listing import Listing, read_body, read_listing
+
+__all__ = ["Discovery", "Listing", "pause", "read_listing"]
 
 log = logging.getLogger(__name__)
 
@@ -33,7 +32,7 @@
 # Where lists are pushed no call waits its turn: an agent that has not answered by then has fallen silent, and
 # what it holds counts as told all the while, 4 s after SIGHUP or 6 s after the silence began.
 PUSHED_GRACE, PUSHED_TIMEOUT, PUSHED_PAUSE = 0.5, 1.0, 0.25  # s: in place of GRACE, ASK_TIMEOUT, MOST_PAUSE
-MOST_BYTES = 4 * 1024 * 1024  # of an answer: some ten thousand backends
+MOST_BYTES = 4 * 1024 * 1024  # of an answer, or what the memory allows if that is more: 30,000 backends or so
 # Whatever a call ended with, a change counts as told 6 s after discovery had it and could be reached.  From
 # the moment a call is refused, with one more call lost, where lists are asked for:
 #
@@ -55,57 +54,6 @@
 Connect = Callable[[tuple[str, int]], AbstractAsyncContextManager[Agent]]
 
 
-@dataclass(frozen=True, slots=True)
-class Listing:
-    """One answer: the version, whether it holds the whole list, the entries and their addresses."""
-
-    version: int
-    full: bool
-    backends: tuple[Backend, ...]
-    addresses: dict[str, tuple[str, int]]
-
-
-def read_address(text: str) -> tuple[str, int]:
-    """An IPv4 address and a port; ValueError otherwise.  Guards the sockets: names are looked up nowhere,
-    and what is none fails with errors of all kinds once it is connected to."""
-    host, _, port = text.rpartition(":")
-    if not (port.isascii() and port.isdecimal()) or not 0 <= int(port) < 65536:
-        raise ValueError(f"{text!r} is not an address and port")
-    return str(IPv4Address(host)), int(port)
-
-
-def _read_entry(row: Any) -> tuple[Backend, tuple[str, int]]:
-    address = read_address(row["addr"])
-    if not address[1]:
-        raise ValueError("addr: no port")
-    name, started, weight = row["id"], row.get("started_ms") or 0, row.get("weight", 1.0)
-    if not isinstance(name, str) or not name:
-        raise ValueError(f"id: {name!r}")
-    if not 0 <= started < 1e15 or not 0 <= weight < 1e9:
-        raise ValueError("started_ms or weight is out of range")
-    return Backend(name, row.get("zone", ""), row.get("kind", ""), row.get("cell", 0),
-                   Readiness(row["state"]), float(weight), started / 1000), address
-
-
-def read_listing(body: Any) -> Listing:
-    """Reads an answer.  An entry that makes no sense is skipped; ValueError if the whole does not."""
-    if not isinstance(body, dict) or not isinstance(body.get("servers"), list):
-        raise ValueError("no list of servers")
-    version = body.get("version")
-    if isinstance(version, bool) or not isinstance(version, int):
-        raise ValueError(f"version: {version!r}")
-    backends, addresses = [], {}
-    for row in body["servers"]:
-        try:
-            backend, address = _read_entry(row)
-        except (KeyError, TypeError, ValueError, AttributeError) as error:
-            log.warning("list version %s: entry skipped: %s: %s", version, type(error).__name__, error)
-            continue
-        backends.append(backend)
-        addresses[backend.id] = address
-    return Listing(version, bool(body.get("full")), tuple(backends), addresses)
-
-
 def pause(failures: int, crowded: bool, rng: random.Random, longest: float = MOST_PAUSE) -> float:
     """Exponential backoff with full jitter, and with equal jitter where a crowded service has been backed
     off from as far as it may be: that halves the spread, and the calls are fewer by a third.  Guards
@@ -123,10 +71,10 @@
 
     def __init__(self, address: tuple[str, int], told: Callable[[ListKind, Listing], None],
                  rng: random.Random, version: int | None = None, pushed: bool = False,
-                 connect: Connect = connect, sleep: Sleep = asyncio.sleep) -> None:
+                 connect: Connect = connect, sleep: Sleep = asyncio.sleep, most_bytes: int = 0) -> None:
         self.address, self.told, self.rng = address, told, rng
         self.version = version  # of the list that is held here; None: ask for all of it
-        self.connect, self.sleep = connect, sleep
+        self.connect, self.sleep, self.most_bytes = connect, sleep, most_bytes
         self.grace, self.timeout, self.longest = (
             (PUSHED_GRACE, PUSHED_TIMEOUT, PUSHED_PAUSE) if pushed else (GRACE, ASK_TIMEOUT, MOST_PAUSE))
 
@@ -154,7 +102,7 @@
 
     async def _ask(self, agent: Agent, retry: bool) -> None:
         query, limit = self._call(retry)
-        listing = read_listing(json.loads(await agent.get(query, limit, MOST_BYTES)))
+        listing = await read_body(await agent.get(query, limit, max(MOST_BYTES, self.most_bytes)))
         if not listing.full and (self.version is None or listing.version < self.version):
             # Guards against an agent that began anew: its changes don't apply to the list held here.
             raise ValueError(f"changes of version {listing.version} for version {self.version}")
--- a/mulleinhall/net/ingress.py
+++ b/mulleinhall/net/ingress.py
@@ -17,7 +17,8 @@
 from mulleinhall.net.clock import Clock, unix_clock
 from mulleinhall.net.config import Config
 from mulleinhall.net.counter import Counter
-from mulleinhall.net.discovery import Discovery, Listing
+from mulleinhall.net.discovery import Discovery
+from mulleinhall.net.listing import Listing, most_bytes
 
 log = logging.getLogger(__name__)
 
@@ -107,7 +108,8 @@
         if self.watch is not None:
             self.watch.cancel()
         discovery = Discovery(self.config.discovery, self.listed, self.rng, version,
-                              not self.settings.ask_discovery)
+                              not self.settings.ask_discovery,
+                              most_bytes=most_bytes(self.config.most_held))
         self.watch = self.loop.create_task(discovery.run())
 
     def reload(self, config: Config) -> None:
--- /dev/null
+++ b/tests/test_net_listing.py
@@ -0,0 +1,236 @@
+"""Lists as they come: what is read of them, long ones, and what holds the event loop."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import logging
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
+from random import Random
+from typing import Any
+
+import pytest
+
+from mulleinhall.interface import Readiness
+from mulleinhall.net import discovery, listing
+from mulleinhall.net.agent import Agent
+from mulleinhall.net.discovery import Discovery
+from mulleinhall.net.listing import Listing, most_bytes, read_body
+from tests.peers import Peer, Reader, Writer, config, entry, run, until
+
+HERE = ("127.0.0.1", 6379)
+
+
+def whole_list(count: int, **changes: Any) -> bytes:
+    rows = [entry(HERE, f"s-{number:08x}") | changes for number in range(count)]
+    return json.dumps({"version": 41, "full": True, "servers": rows}).encode()
+
+
+def read(body: bytes | bytearray) -> Listing:
+    return asyncio.run(read_body(body))
+
+
+@pytest.mark.parametrize("write", [
+    lambda source: json.dumps(source),
+    lambda source: json.dumps(source, indent=4),
+    lambda source: " \n" + json.dumps(source, indent="\t", separators=(" , ", " : ")) + "\r\n ",
+    lambda source: json.dumps(source | {"more": {"a": [1, {}]}}),
+    lambda source: json.dumps(dict(reversed(source.items()))),
+])
+@pytest.mark.parametrize("kind", [bytes, bytearray])
+def test_the_form_of_the_text_does_not_matter(
+        write: Callable[[dict[str, Any]], str], kind: type[bytes] | type[bytearray]) -> None:
+    rows = [entry(HERE, started=1_700_000_000_500) | {"other": [1]}, entry(HERE, "s2", "draining")]
+    source = {"version": 43, "full": False, "servers": rows}
+    found = read(kind(write(source).encode()))
+    assert (found.version, found.full) == (43, False)
+    assert [(b.id, b.zone, b.kind, b.cell, b.readiness, b.weight, b.started) for b in found.backends] == [
+        ("s1", "a", "m", 1, Readiness.READY, 1.0, 1_700_000_000.5),
+        ("s2", "a", "m", 1, Readiness.DRAINING, 1.0, 0.0)]
+    assert dict(found.addresses) == {"s1": HERE, "s2": HERE}
+
+
+def test_what_an_entry_need_not_have() -> None:
+    found = read(b'{"servers":[{"id":"s1","addr":"127.0.0.1:6379","state":"ready"},'
+                 b'{"id":"s2","addr":"127.0.0.1:6379","state":"gone","weight":2,"started_ms":null}],"version":4}')
+    [first, second] = found.backends
+    assert (first.zone, first.kind, first.cell, first.weight, first.started) == ("", "", 0, 1.0, 0.0)
+    assert (second.readiness, second.weight, second.started) == (Readiness.GONE, 2.0, 0.0)
+    assert isinstance(second.weight, float) and not found.full
+
+
+@pytest.mark.parametrize("change", [
+    {"addr": "nowhere"}, {"addr": "127.0.0.1:99999"}, {"addr": 7}, {"addr": "a.example:80"}, {"addr": None},
+    {"addr": "x" * 70 + ".y:80"}, {"addr": "\0:80"}, {"addr": "127.0.0.1:0"}, {"addr": "127.0.0.1:-1"},
+    {"addr": ":80"}, {"addr": "[::1]:80"}, {"addr": "127.0.0.01:80"}, {"addr": "127.1:80"},
+    {"addr": "127.0.0.1:" + "9" * 5000}, {"addr": "127.0.0.1:\u0663"}, {"addr": "127.0.0.1"},
+    {"id": None}, {"id": ""}, {"id": 5}, {"state": "odd"}, {"state": None}, {"state": "READY"},
+    {"started_ms": "x"}, {"started_ms": -1}, {"started_ms": 1e15},
+    {"weight": "x"}, {"weight": -1}, {"weight": 1e9}, {"weight": None}, {"zone": []}, {"kind": {}},
+])
+def test_a_malformed_entry_of_an_answer_is_skipped_and_logged(
+        change: dict[str, Any], caplog: pytest.LogCaptureFixture) -> None:
+    rows = [entry(HERE) | change, entry(HERE, "s2"), 5, None, [], "s3"]
+    with caplog.at_level(logging.WARNING):
+        found = read(json.dumps({"version": 1, "full": True, "servers": rows}).encode())
+    assert [b.id for b in found.backends] == ["s2"] and list(found.addresses) == ["s2"]
+    assert len(caplog.records) == 5
+    assert all(len(record.getMessage()) < 400 for record in caplog.records)
+
+
+@pytest.mark.parametrize("key", ["id", "addr", "state"])
+def test_an_entry_without_what_it_must_have_is_skipped(key: str) -> None:
+    row = entry(HERE)
+    del row[key]
+    assert not read(json.dumps({"version": 1, "servers": [row]}).encode()).backends
+
+
+@pytest.mark.parametrize("body", [
+    b"", b"{", b"[]", b"5", b"null", b"\xff", b'{"version":1}', b'{"version":"x","servers":[]}',
+    b'{"version":true,"servers":[]}', b'{"version":1.5,"servers":[]}', b'{"version":1,"servers":{}}',
+    b'{"version":1,"servers":null}', b'{"version":1,"servers":[}', b'{"servers":[]}',
+    b'{"version":1,"servers":[]} {}', b'{"version":1,"full":"no","servers":[]}',
+])
+def test_an_answer_that_makes_no_sense_is_an_error(body: bytes) -> None:
+    with pytest.raises(ValueError):
+        read(body)
+
+
+def test_many_malformed_entries_do_not_fill_the_log(caplog: pytest.LogCaptureFixture) -> None:
+    with caplog.at_level(logging.WARNING):
+        found = read(whole_list(2_000, addr="nowhere"))
+    assert not found.backends
+    assert len(caplog.records) == listing.LOGGED + 1
+    assert "2000 entries skipped" in caplog.records[-1].getMessage()
+
+
+def test_entries_share_what_is_the_same_in_them() -> None:
+    rows = read(whole_list(600, zone="hall-a-1", kind="m-2")).backends
+    for name in ("zone", "kind", "weight", "started"):
+        assert len({id(getattr(row, name)) for row in rows}) == 1
+
+
+def test_the_event_loop_turns_while_a_long_list_is_read() -> None:
+    async def body() -> None:
+        turns, slices = 0, 10
+        text = whole_list(slices * listing.SLICE)
+        reading = asyncio.create_task(read_body(text))
+        while not reading.done():
+            await asyncio.sleep(0)
+            turns += 1
+        assert len(reading.result().backends) == slices * listing.SLICE
+        assert turns >= slices
+
+    run(body())
+
+
+class LongListAgent:
+    """Answers the first call with a long whole list and is silent then."""
+
+    def __init__(self) -> None:
+        self.asked = 0
+
+    @asynccontextmanager
+    async def connect(self, _: tuple[str, int]) -> AsyncIterator[Agent]:
+        yield self
+
+    async def get(self, query: str, timeout: float, most_bytes: int) -> bytes:
+        self.asked += 1
+        if self.asked > 1:
+            await asyncio.Event().wait()
+        return whole_list(4 * listing.SLICE)
+
+
+def test_a_watch_that_ends_in_the_middle_of_a_list_applies_nothing(monkeypatch: pytest.MonkeyPatch) -> None:
+    """As on SIGHUP: the list of the old discovery must not come after the new one's."""
+    async def body() -> None:
+        told, read_slices = list[Listing](), list[int]()
+        add = listing._Builder.add
+
+        def counted(builder: listing._Builder, rows: list[Any], decode: Callable[[Any], Any]) -> None:
+            read_slices.append(len(rows))
+            add(builder, rows, decode)
+
+        monkeypatch.setattr(listing._Builder, "add", counted)
+        agent = LongListAgent()
+        watch = Discovery(HERE, lambda _, found: told.append(found), Random(1), connect=agent.connect)
+        task = asyncio.create_task(watch.run())
+        while not read_slices:
+            await asyncio.sleep(0)  # one turn at a time catches the read in its middle
+        assert len(read_slices) < 4
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        assert not told and watch.version is None and agent.asked == 1
+
+    run(body())
+
+
+def http_answer(body: bytes) -> bytes:
+    return b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body)
+
+
+async def first_told(peer: Peer, most: int) -> Listing:
+    """The first list that a watch on this agent tells."""
+    told: list[Listing] = []
+    watch = Discovery(peer.address, lambda _, found: told.append(found), Random(1), most_bytes=most)
+    task = asyncio.create_task(watch.run())
+    await until(lambda: told)
+    task.cancel()
+    await asyncio.gather(task, return_exceptions=True)
+    return told[0]
+
+
+def test_a_list_of_sixty_thousand_backends_is_taken() -> None:
+    text = whole_list(60_000)
+    assert len(text) > 4 * 1024 * 1024
+
+    async def script(_: int, reader: Reader, writer: Writer) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(http_answer(text))
+        await reader.read()
+
+    async def body() -> None:
+        async with Peer(script) as peer:
+            found = await first_told(peer, most_bytes(config().most_held))
+        assert len(found.backends) == len(found.addresses) == 60_000
+
+    run(body())
+
+
+@pytest.mark.parametrize("head", [b"Content-Length: 1000000000", b"Transfer-Encoding: chunked"])
+def test_a_list_that_is_too_long_is_dropped_and_logged(
+        head: bytes, caplog: pytest.LogCaptureFixture, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(discovery, "MOST_BYTES", 100_000)
+    chunk = b" " * 65_536
+    if head.startswith(b"Transfer"):
+        chunk = b"10000\r\n" + chunk + b"\r\n"
+
+    async def script(number: int, reader: Reader, writer: Writer) -> None:
+        while await reader.readuntil(b"\r\n\r\n"):
+            if number:
+                writer.write(http_answer(whole_list(1)))
+                continue
+            writer.write(b"HTTP/1.1 200 OK\r\n" + head + b"\r\n\r\n")
+            while True:
+                writer.write(chunk)
+                await writer.drain()
+
+    async def body() -> None:
+        async with Peer(script) as peer:
+            found = await asyncio.wait_for(first_told(peer, 0), 2.0)  # not once the call's time is up
+        assert len(found.backends) == 1
+
+    with caplog.at_level(logging.WARNING):
+        run(body())
+    assert "too long: more than the 100000 bytes that limits.memory_mb allows" in caplog.text
+
+
+def test_how_long_a_list_may_be_goes_by_the_memory() -> None:
+    def allowed(memory_mb: int) -> int:
+        limits = {"cores": 1.0, "memory_mb": memory_mb, "sockets": 1024}
+        return most_bytes(config(limits=limits).most_held)
+
+    assert allowed(64) < allowed(192) < allowed(384)
+    assert all(allowed(memory_mb) * 12 < memory_mb * 1024 * 1024 for memory_mb in (64, 192, 384, 2_048))
+    assert allowed(2_048) == allowed(16_384) == 250_000 * 130
