Backends: take over a whole list without a pass in Python over all addresses

Change: only the targets that were made are looked up in the new list, and the ready state is looked up once.

--- a/mulleinhall/net/backends.py
+++ b/mulleinhall/net/backends.py
@@ -252,14 +252,16 @@
         self._refresh(info.id)
 
     def _replace(self, backends: tuple[Backend, ...], addresses: Mapping[str, tuple[str, int]]) -> None:
-        for name in self.targets.keys() - addresses.keys():
+        for name in [name for name in self.targets if name not in addresses]:
             self._gone(name)
         self.addresses = AddressBook.copy_of(addresses)
         self.leaving.clear()
-        repeated = len(addresses) < len(backends)  # an id stands there twice: the last entry holds
-        for info in backends:
-            if repeated or info.readiness is not Readiness.READY:
-                self._update(info, addresses[info.id])
+        ready = Readiness.READY  # looked up once: the list may be long
+        changed = [info for info in backends if info.readiness is not ready]
+        if len(addresses) < len(backends):
+            changed = list(backends)  # an id stands there twice: the last entry holds
+        for info in changed:
+            self._update(info, addresses[info.id])
         for name in list(self.targets):
             self._refresh(name)
 
