--- a/mulleinhall/logic/balancer.py
+++ b/mulleinhall/logic/balancer.py
@@ -75,7 +75,7 @@
                 del self.backends[name]
         self.subset = [self.backends[name] for name in subset]
         self.available = [backend for backend in self.backends.values() if backend.available]
-        self.reserve = [backend for backend in self.available if backend not in self.subset]
+        self.reserve = [self.backends[name] for name in list(candidates)[len(subset):]]
 
     def _tracked(self, name: str, now: float) -> TrackedBackend:
         known = self.backends.get(name)
