In a jam one attempt at a time goes beyond the subset; a silent time-out ejects at once

Cause: a gateway whose whole subset falls silent sees only its own attempts hang, takes that for a jam of all backends and sheds (Gateway._decide), so nothing ever goes to the others; a dead backend looks idle again after each time-out, and is ejected at the third (TrackedBackend.failed).

Change: while requests are shed, one attempt at a time goes to a backend of the reserve that holds nothing from here; its answer shows that the jam is one of the subset. A time-out of a backend that has answered nothing since ejects it at once. Where no backend of the subset is healthy, the choice is made among all candidates.

--- a/mulleinhall/logic/admission.py
+++ b/mulleinhall/logic/admission.py
@@ -42,11 +42,10 @@
         customer, estimate, ask_share = request.customer, request.customer.estimate, self.counter.ask_share
         low = LOW_SHARE * ask_share * customer.slice.capacity  # less where the counter is crowded
         fits = not self.ceiling_short(now, request) and customer.slice_fits(now, request.units + low)
-        if fits or request.too_late:
-            return False
         again = request.units / request.plan.rate if ask_share >= 1 else estimate.lifetime  # s, to ask again
         hope = now - estimate.reported_at > again or estimate.level(now) >= request.units
-        return hope and request.deadline - now > LEAST_ASK_TIMEOUTS * self.settings.counter_timeout
+        in_time = request.deadline - now > LEAST_ASK_TIMEOUTS * self.settings.counter_timeout
+        return hope and in_time and not fits and not request.too_late
 
     def ceiling_short(self, now: float, request: PendingRequest) -> bool:
         """Whether the local slice of the ceiling is too low for the request."""
--- a/mulleinhall/logic/backend.py
+++ b/mulleinhall/logic/backend.py
@@ -14,8 +14,7 @@
 REJECTIONS_TO_EJECT = 2  # requests turned away in a row: it is about to leave, or full for everybody
 MOST_BACKOFF_DOUBLINGS, MOST_REJECTION_DOUBLINGS = 4, 5
 CROSS_ZONE_FACTOR = 1.1  # a backend of another zone counts as this much busier: a tie-break
-LEAST_PACE = 0.2  # of the mean answer time: no backend counts as faster than this
-SILENCE_PER_PACE = 3.0  # mean answer times of silence that count like one more answer time
+LEAST_PACE, SILENCE_PER_PACE = 0.2, 3.0  # mean answer times: the fastest pace; of silence, for one of pace
 
 
 @dataclass(slots=True)
@@ -84,8 +83,7 @@
         return now - max(self.heard_at, oldest) if self.attempts_out else 0.0
 
     def failed(self, now: float, outcome: api.Outcome, patience: float) -> None:
-        """Ejects it at the first refused connection, or after a row of errors, time-outs or rejections: one
-        that is dead or stuck looks idle.  The pause doubles with each failure."""
+        """Ejects one that is dead or stuck, and so looks idle.  The pause doubles with each failure."""
         if outcome is api.Outcome.FULL:
             return self._rejected(now, patience)
         self.failures += 1
--- a/mulleinhall/logic/balancer.py
+++ b/mulleinhall/logic/balancer.py
@@ -120,8 +120,10 @@
         free, work = len(backend.attempts_out) < max(1.0, budget.rate), self.answer_times.work(request)
         return free and budget.fits(now, work, max(1.0, work))
 
-    def choose(self, request: PendingRequest, now: float) -> TrackedBackend | None:
+    def choose(self, request: PendingRequest, now: float, explore: bool = False) -> TrackedBackend | None:
         """The backend for one more attempt: of the subset, else of the reserve, else of a sample of all."""
+        if explore:
+            return self._best(request, now, [b for b in self.reserve if not b.attempts_out])
         first = self.subset if len(request.attempts) < SUBSET_ATTEMPTS else self.reserve
         return (self._best(request, now, self._some(first, MOST_COMPARED))
                 or self._best(request, now, self._some(self.available, MOST_FALLBACK))
@@ -144,6 +146,8 @@
         healthy = {b.info.id for b in usable if b.silent_for(now) <= stalled and not b.ejected(now)}
         # Where most are sick the cause is likely shared.  One that refuses connections would still draw all.
         shared = len(healthy) < LEAST_HEALTHY * len(usable)
+        if not healthy and len(candidates) < len(self.available):
+            return None  # more of them tell whether it is
         best, best_load = None, float("inf")
         mean = self.answer_times.mean(request.request_class)
         for backend in usable:
--- a/mulleinhall/logic/customer.py
+++ b/mulleinhall/logic/customer.py
@@ -57,9 +57,8 @@
 
     def forgettable(self, now: float) -> bool:
         """Whether nothing is lost by dropping it: a new one with full buckets would be the same."""
-        if now - self.seen_at <= FORGET_AFTER or self.open or self.waiting:
-            return False
-        return all(bucket.fits(now, bucket.capacity) for bucket in (self.slice, self.ceiling.slice))
+        idle = now - self.seen_at > FORGET_AFTER and not self.open and not self.waiting
+        return idle and all(bucket.fits(now, bucket.capacity) for bucket in (self.slice, self.ceiling.slice))
 
     def siblings(self, settings: api.Settings) -> list[int]:
         """The numbers of the other gateways that this customer may use."""
--- a/mulleinhall/logic/gateway.py
+++ b/mulleinhall/logic/gateway.py
@@ -6,7 +6,7 @@
 
 import mulleinhall.interface as api
 from mulleinhall.logic.admission import Admission
-from mulleinhall.logic.backend import TrackedBackend
+from mulleinhall.logic.backend import FAILURES_TO_EJECT, TrackedBackend
 from mulleinhall.logic.balancer import LoadBalancer
 from mulleinhall.logic.overload import AnswerTimes, OverloadGuard
 from mulleinhall.logic.peers import PeerReports
@@ -108,7 +108,10 @@
         under_ceiling = not plan.ceiling_rate or request.customer.under_ceiling(now, request.units)
         admitted = (request.inside_quota or pays_beyond) and under_ceiling
         rank = self.overload.rank(request)
-        if not admitted or pressure > rank or not self._send(now, request):
+        # A jam may be one of the subset alone: one attempt at a time goes beyond it.
+        explore = pressure > rank and self.overload.exploring is None
+        admitted = admitted and (pressure <= rank or explore)
+        if not admitted or not self._send(now, request, explore):
             self._finish(request)
 
     def _pressure(self, now: float) -> float:
@@ -125,9 +128,9 @@
         wait = request.units / request.plan.rate if advise else 0.0
         self._emit(api.Refuse(request.id, wait) if request.may_refuse() else api.Fail(request.id))
 
-    def _send(self, now: float, request: PendingRequest) -> bool:
+    def _send(self, now: float, request: PendingRequest, explore: bool = False) -> bool:
         """Sends one more attempt; False if no backend may get it."""
-        backend = self.balancer.choose(request, now)
+        backend = self.balancer.choose(request, now, explore)
         if backend is None:
             return False
         if not request.sent:
@@ -135,12 +138,12 @@
         # A repeat whose connection comes up late would be none to the backend: say until when it is one.
         window = request.request_class.window
         within = min((sent_at + window - now for _, sent_at in request.maybe_run if window), default=0.0)
-        number = len(request.attempts)
+        key = request.id, len(request.attempts)
         request.attempts.append((backend, now))
         request.maybe_run.append((backend, now))
-        request.open_attempts[number] = backend
+        request.open_attempts[key[1]] = backend
         request.customer.open += 1
-        key = request.id, number
+        self.overload.exploring = key if explore else self.overload.exploring
         self.attempts_out[key] = request, backend
         self.balancer.begin(backend, key, now)
         self.overload.begin(now, key, request.request_class)
@@ -204,6 +207,7 @@
         elif event.outcome not in (api.Outcome.CANCELLED, api.Outcome.MOOT):
             if event.outcome is api.Outcome.TIMEOUT and backend.heard_at <= sent_at:
                 backend.answered(now, max(event.latency, request_class.aim), mean, request_class.aim)
+                backend.failures = max(backend.failures, FAILURES_TO_EJECT - 1)
             backend.failed(now, event.outcome, self.balancer.patience)
 
     def _retry(self, now: float, request: PendingRequest, never_ran: bool) -> None:
@@ -249,15 +253,14 @@
         if event.token == DISCOVERY:
             self.asking_discovery = False
             self._emit(api.Subscribe())
-        if event.token != TICK:
-            return
-        self._emit(api.SetTimer(self.period, TICK))
-        if now - self.swept_at > SWEEP_PERIOD:
-            self.swept_at = now
-            self.admission.forget_idle(now)
-        self.counter.report_large_use(now)
-        if not self.counter.enabled and self.settings.peers:
-            self._tell_peers()
+        elif event.token == TICK:
+            self._emit(api.SetTimer(self.period, TICK))
+            if now - self.swept_at > SWEEP_PERIOD:
+                self.swept_at = now
+                self.admission.forget_idle(now)
+            self.counter.report_large_use(now)
+            if not self.counter.enabled and self.settings.peers:
+                self._tell_peers()
 
     def _tell_peers(self) -> None:
         """Reports running totals, the largest unreported use first, as far as one message holds."""
--- a/mulleinhall/logic/hash_ring.py
+++ b/mulleinhall/logic/hash_ring.py
@@ -19,9 +19,6 @@
     def __init__(self) -> None:
         self.marks, self.names = array("L"), list[str]()
 
-    def __len__(self) -> int:
-        return len(self.names)
-
     def position(self, mark: int, name: str) -> int:
         """Where the name stands, or would stand; equal marks are in the order of names."""
         at = bisect_left(self.marks, mark)
--- a/mulleinhall/logic/overload.py
+++ b/mulleinhall/logic/overload.py
@@ -51,6 +51,7 @@
         self.attempts_out: dict[tuple[str, int], tuple[float, float]] = {}
         self.weight_out = 0.0  # their sum
         self.mean_weight_out, self.sends, self.updated_at = BUSY_WAIT, 1.0, NEVER
+        self.exploring: tuple[str, int] | None = None  # the attempt that tells whether a jam is everywhere
 
     def begin(self, now: float, key: tuple[str, int], request_class: api.RequestClass) -> None:
         """An attempt was sent."""
@@ -63,6 +64,7 @@
         """An attempt ended."""
         self.mean_wait(now)
         self._forget(key)
+        self.exploring = None if self.exploring == key else self.exploring
 
     def _forget(self, key: tuple[str, int]) -> None:
         _, weight = self.attempts_out.pop(key, (0.0, 0.0))
@@ -82,16 +84,15 @@
     def pressure(self, now: float, totals: LoadTotals) -> float:
         """The share of requests to shed, by what backends hold and by the mean time out; below 0: none."""
         used = totals.attempts_out / totals.limit if totals.limit else 1.0
-        by_limits = (used - SPARE_SHARE) / (1 - SPARE_SHARE)
         by_wait = (self.mean_wait(now) - WAIT_SHED_FROM) / (WAIT_SHED_ALL - WAIT_SHED_FROM)
-        return max(by_limits, by_wait)
+        return max((used - SPARE_SHARE) / (1 - SPARE_SHARE), by_wait)
 
     def rank(self, request: PendingRequest) -> float:
         """The share of recent requests that are worth less for their work than this one."""
         times, cls = self.answer_times, request.request_class
         times.mean_units += (request.units - times.mean_units) * SLOW_SMOOTHING
-        worth = cls.worth * (cls.late_worth if request.too_late else 1.0) * request.plan.price
-        density = worth / times.mean(cls)
+        late = cls.late_worth if request.too_late else 1.0
+        density = cls.worth * late * request.plan.price / times.mean(cls)
         self._remember(density)
         below = bisect_left(self.sorted_worth, density)
         same = bisect_right(self.sorted_worth, density) - below
--- a/mulleinhall/logic/quota_estimate.py
+++ b/mulleinhall/logic/quota_estimate.py
@@ -10,10 +10,8 @@
 
 
 class QuotaEstimate:
-    """The level of the token bucket that all gateways share, as far as this gateway can tell.
-
-    Reported use (from the counter or from peers) is taken off a copy of the whole bucket, which is believed
-    only for a while."""
+    """The level of the bucket that all gateways share: use reported by the counter or by peers is taken off a
+    copy of it, which is believed only for a while."""
 
     def __init__(self, plan: api.Plan, now: float, thin: bool) -> None:
         self.rate, self.capacity, self.thin = plan.rate, plan.burst, thin
--- a/mulleinhall/logic/subset.py
+++ b/mulleinhall/logic/subset.py
@@ -1,8 +1,7 @@
 """Deterministic subsetting: which backends each gateway prefers, computed alike by all without a word.
 
 Backends stand on two rings, in the order of two hashes.  Gateways have evenly spaced places on each and
-prefer the backends that come next, half a subset on each, so that all have about equally many gateways.
-With one ring, gateways that share a backend would share most others too."""
+prefer the backends that come next, half a subset on each: with one ring they would share all or nothing."""
 
 from collections.abc import Iterable
 from math import ceil
@@ -54,7 +53,7 @@
 
     def _sizes(self) -> tuple[int, int]:
         """How many of a subset come from each ring."""
-        count = len(self.rings[0])
+        count = len(self.rings[0].names)
         size = min(max(SUBSET_SIZE, ceil(LEAST_HOLDERS * count / self.gateways)), count)
         return size // 2, size - size // 2
 
@@ -64,18 +63,18 @@
 
     def _start(self, ring: int, gateway: int) -> int:
         """The position on a ring of the first backend after a gateway's place."""
-        return self.places[ring][gateway] * len(self.rings[ring]) // self.gateways
+        return self.places[ring][gateway] * len(self.rings[ring].names) // self.gateways
 
     def _gateways_at(self, ring: int, position: int) -> list[int]:
         """The gateways whose place on the ring comes right before a position."""
-        count = len(self.rings[ring])
+        count = len(self.rings[ring].names)
         first, end = (-(-at * self.gateways // count) for at in (position, position + 1))
         return self.orders[ring][first:end]
 
     def _count_holders(self, name: str) -> int:
         """Looks only at gateways whose places are within a subset's size before the backend."""
         first, second = self._sizes()
-        count, size = len(self.rings[0]), first + second
+        count, size = len(self.rings[0].names), first + second
         if size == count:
             return self.gateways
         at_first, at_second = (ring.position(mark, name) for ring, mark in
--- a/mulleinhall/logic/usage_counter.py
+++ b/mulleinhall/logic/usage_counter.py
@@ -1,7 +1,6 @@
 """Use of the shared counter: which requests to ask about, and what its totals tell.
 
-Each customer has a count to which every gateway adds the units it sends on, so the total shows what is left
-of the quota.  Each gateway asks about a share of its requests that follows how well the counter answers."""
+Each customer has a count to which every gateway adds the units it sends on: the total shows what is left."""
 
 import random
 from collections.abc import Callable
--- a/tests/test_subset.py
+++ b/tests/test_subset.py
@@ -6,6 +6,8 @@
 import pstats
 from collections.abc import Callable
 from dataclasses import replace
+from heapq import heappop, heappush
+from itertools import count as count_from
 from random import Random
 
 import pytest
@@ -14,10 +16,12 @@
     AttemptEnded,
     Backend,
     BackendsChanged,
+    Event,
     ListKind,
     Outcome,
     Readiness,
     Request,
+    Send,
     Settings,
 )
 from mulleinhall.logic import Gateway
@@ -191,6 +195,95 @@
     assert play.gateway.overload.weight_out == pytest.approx(sum(weight for _, weight in held))
 
 
+# What is used once backends fall silent: their attempts end only with their time-outs
+
+class SilentPlay:
+    """Poisson requests to a gateway whose backends answer after 0.15 s on the mean, in simulated time.  From
+    LOST_AT on some of them answer nothing more; the list does not tell."""
+
+    LOST_AT, END, FINISH = 110.0, 114.0, 120.0
+
+    def __init__(self, gateways: int, count: int, rate: float, seed: int) -> None:
+        self.rng, self.rate = Random(seed), rate
+        self.gateway = Gateway(replace(WIDE, gateways=gateways), seed)
+        self.gateway.handle(100.0, BackendsChanged(ListKind.RESTORED, backends(count)))
+        self.queue: list[tuple[float, int, Event]] = []
+        self.numbers = count_from(0)
+        self.asked, self.answered = 0, 0
+        self.attempts: dict[str, int] = {}
+
+    def share_answered(self, lost: Callable[[Gateway], set[str]]) -> float:
+        """The share of the requests after LOST_AT that are answered."""
+        now, silent = 100.0, set[str]()
+        while now < self.END:
+            now += self.rng.expovariate(self.rate)
+            number = next(self.numbers)
+            self._push(now, Request(f"r{number}", "read", "basic", f"c{number % 300}", 4.0, spread=3))
+        while self.queue and self.queue[0][0] < self.FINISH:
+            at, _, event = heappop(self.queue)
+            if at >= self.LOST_AT and not silent:
+                silent = lost(self.gateway)
+            self._note(at, event)
+            for sent in sends(self.gateway.handle(at, event)):
+                self._answer(at, sent, silent if at >= self.LOST_AT else set())
+        return self.answered / self.asked
+
+    def _push(self, at: float, event: Event) -> None:
+        heappush(self.queue, (at, next(self.numbers), event))
+
+    def _note(self, at: float, event: Event) -> None:
+        if isinstance(event, Request) and at >= self.LOST_AT:
+            self.asked += 1
+            self.attempts[event.id] = 0
+        elif isinstance(event, AttemptEnded) and event.id in self.attempts:
+            self.answered += event.outcome is Outcome.OK
+
+    def _answer(self, at: float, sent: Send, silent: set[str]) -> None:
+        number = self.attempts.get(sent.id, 0)
+        self.attempts.update({sent.id: number + 1} if sent.id in self.attempts else {})
+        dead = sent.backend in silent
+        wait = sent.timeout if dead else self.rng.gammavariate(4.0, 0.15 / 4)
+        outcome = Outcome.TIMEOUT if dead else Outcome.OK
+        self._push(at + wait, AttemptEnded(sent.id, number, sent.backend, outcome, wait, not dead))
+
+
+def own_subset(gateway: Gateway) -> set[str]:
+    return {backend.info.id for backend in gateway.balancer.subset}
+
+
+def one_zone(gateway: Gateway) -> set[str]:
+    return {name for name, info in gateway.balancer.infos.items() if info.zone == "a"}
+
+
+@pytest.mark.parametrize(("gateways", "count", "rate", "least"), [
+    (3400, 2000, 200.0, 0.85), (200, 200, 20.0, 0.2)])
+def test_a_subset_that_falls_silent_at_once_leaves_the_other_backends(
+        gateways: int, count: int, rate: float, least: float) -> None:
+    """With twenty requests a second all were refused for seconds: attempts that hang look like a jam."""
+    shares = [SilentPlay(gateways, count, rate, seed).share_answered(own_subset) for seed in (1, 2)]
+    assert min(shares) >= least
+
+
+@pytest.mark.parametrize(("gateways", "count", "rate", "least"), [
+    (3400, 2000, 200.0, 0.95), (200, 200, 20.0, 0.7)])
+def test_a_zone_that_falls_silent_leaves_the_other_zones(
+        gateways: int, count: int, rate: float, least: float) -> None:
+    shares = [SilentPlay(gateways, count, rate, seed).share_answered(one_zone) for seed in (1, 2)]
+    assert min(shares) >= least
+
+
+def test_in_a_jam_one_attempt_at_a_time_goes_beyond_the_subset() -> None:
+    play = Play(replace(WIDE, gateways=300), backends(80))
+    play.gateway.overload.mean_weight_out = 1e3
+    assert len(sends(play.ask())) == 1
+    [(request, explored)] = [(r, b) for key, (r, b) in play.gateway.attempts_out.items()
+                             if key == play.gateway.overload.exploring]
+    assert explored not in play.gateway.balancer.subset
+    assert not any(sends(play.ask(0.01)) for _ in range(10))  # a jam, as far as is known
+    play.at(0.0, AttemptEnded(request.id, 0, explored.info.id, Outcome.OK, 0.1, True))
+    assert sends(play.ask(0.01))
+
+
 # What it costs, in calls of functions: these do not depend on the machine
 
 def calls(action: Callable[[], object]) -> int:
