--- a/tests/test_subset.py
+++ b/tests/test_subset.py
@@ -274,6 +274,7 @@
 
 def test_in_a_jam_one_attempt_at_a_time_goes_beyond_the_subset() -> None:
     play = Play(replace(WIDE, gateways=300), backends(80))
+    play.ask()
     play.gateway.overload.mean_weight_out = 1e3
     assert len(sends(play.ask())) == 1
     [(request, explored)] = [(r, b) for key, (r, b) in play.gateway.attempts_out.items()
