--- /dev/null
+++ b/mulleinhall/logic/admission.py
@@ -0,0 +1,83 @@
+"""Admission by quota: whether a request is inside its customer's quota, as far as this gateway can tell."""
+
+import mulleinhall.interface as api
+from mulleinhall.logic.customer import Customer
+from mulleinhall.logic.peers import PeerReports
+from mulleinhall.logic.request import PendingRequest
+from mulleinhall.logic.usage_counter import EPOCH, UsageCounter
+
+LOW_SHARE = 0.5  # of the slice: below this a gateway asks about its customer's use elsewhere
+UNCERTAIN_BURSTS = 0.5  # bursts that the totals of a counter are off by where hardly anything is asked
+LEAST_ASK_TIMEOUTS = 4  # counter time-outs that a request must have left to wait for an answer
+
+
+class Admission:
+    """The customers seen lately; decides by slice, by the counter's totals, or by the peers' reports."""
+
+    def __init__(self, settings: api.Settings, counter: UsageCounter, peers: PeerReports) -> None:
+        self.settings, self.counter, self.peers = settings, counter, peers
+        self.by_key: dict[str, Customer] = {}
+        self.by_hash: dict[int, Customer] = {}
+
+    def find_customer(self, now: float, event: api.Request, plan: api.Plan, process_age: float) -> Customer:
+        """The customer of a request, created or resized as the request says."""
+        customer = self.by_key.get(event.customer)
+        if customer is not None:
+            customer.resize(now, event)
+        if customer is None or customer.plan is not plan:
+            most = self.settings.most_units
+            customer = Customer(event, plan, now, process_age, self.counter.enabled, most)
+            self.by_key[event.customer] = self.by_hash[customer.hash] = customer
+        return customer
+
+    def forget_idle(self, now: float) -> None:
+        """Drops customers that are the same as new ones; their last use is too little to be reported."""
+        for key in [k for k, customer in self.by_key.items() if customer.forgettable(now)]:
+            self.by_hash.pop(self.by_key.pop(key).hash, None)
+            self.counter.to_report.pop(key, None)
+
+
+    def wants_counter(self, now: float, request: PendingRequest) -> bool:
+        """Whether to ask the counter first: the slice is low, and there may be enough elsewhere by now."""
+        customer, estimate, ask_share = request.customer, request.customer.estimate, self.counter.ask_share
+        low = LOW_SHARE * ask_share * customer.slice.capacity  # less where the counter is crowded
+        fits = not self.ceiling_short(now, request) and customer.slice_fits(now, request.units + low)
+        again = request.units / request.plan.rate if ask_share >= 1 else estimate.lifetime  # s, to ask again
+        hope = now - estimate.reported_at > again or estimate.level(now) >= request.units
+        in_time = request.deadline - now > LEAST_ASK_TIMEOUTS * self.settings.counter_timeout
+        return hope and in_time and not fits and not request.too_late
+
+    def ceiling_short(self, now: float, request: PendingRequest) -> bool:
+        """Whether the local slice of the ceiling is too low for the request."""
+        ceiling = request.customer.ceiling
+        return request.plan.ceiling_rate > 0 and not ceiling.slice.fits(now, request.units)
+
+    def inside_quota(self, now: float, request: PendingRequest) -> bool:
+        """Whether the quota has room for the request, or is likely enough to have it."""
+        capped = request.plan.open_limit and request.customer.open >= request.customer.open_limit
+        return self._by_rate(now, request) and not capped
+
+    def _by_rate(self, now: float, request: PendingRequest) -> bool:
+        customer, plan = request.customer, request.plan
+        if not plan.rate:
+            return True
+        if self._use_is_known(now, customer):
+            # A crowded counter learns late of what it is not asked about, so its totals are off.
+            uncertain = customer.thin and not request.counted_units
+            margin = UNCERTAIN_BURSTS * (1 - self.counter.ask_share) if uncertain else 0.0
+            return customer.estimate.level(now) >= request.units + margin * plan.burst
+        return customer.slice_fits(now, request.units) or self._worth_the_risk(now, request)
+
+    def _worth_the_risk(self, now: float, request: PendingRequest) -> bool:
+        """Whether a thin slice sends what could not be asked about: the counter is crowded but not dead."""
+        estimate, alive = request.customer.estimate, now - self.counter.answered_at < EPOCH / 3
+        if not request.customer.thin or not alive or not self.counter.pays_unasked(request):
+            return False
+        recent = now - estimate.reported_at < EPOCH / 3
+        return not recent or estimate.level(now) >= request.units
+
+    def _use_is_known(self, now: float, customer: Customer) -> bool:
+        """Whether there is fresh word of the use elsewhere: a total, or a report from each sibling."""
+        if self.counter.enabled:
+            return customer.estimate.fresh(now)
+        return self.peers.all_heard(now, customer.siblings(self.settings))
--- /dev/null
+++ b/mulleinhall/logic/usage_counter.py
@@ -0,0 +1,177 @@
+"""Use of the shared counter: which requests to ask about, and what its totals tell.
+
+Each customer has a count to which every gateway adds the units it sends on: the total shows what is left."""
+
+import random
+from collections.abc import Callable
+
+import mulleinhall.interface as api
+from mulleinhall.logic.ceiling import LEAST_REPORTED
+from mulleinhall.logic.common import NEVER, SLOW_SMOOTHING
+from mulleinhall.logic.customer import Customer
+from mulleinhall.logic.request import PendingRequest
+
+EPOCH = 30.0  # s: a counter name serves this long; half of the longest life a name may have
+ASK_DECREASE, ASK_INCREASE = 0.2, 0.02  # of the share asked about: after a failure, after a quick answer
+LEAST_ASKED = 0.05  # of what would be asked: goes to a counter that fails, to see it come back
+QUICK = 0.6  # of the time-out: a counter that answers sooner can take more; the way there may take half
+EXACT, INEXACT = 0.1, 0.25  # bursts that a count may pass its ends by; the second where it is crowded
+DOUBTFUL_SHARE = 0.2  # of a request's units: a slice that holds less makes it doubtful
+DEBT_TIMEOUTS = 10.0  # time-outs that a count has stood in debt before the debt is written off
+
+
+class UsageCounter:
+    """The calls of one gateway to the counter, and what it learned from the answers."""
+
+    def __init__(self, settings: api.Settings, rng: random.Random, enabled: bool,
+                 emit: Callable[[api.Action], None]) -> None:
+        self.settings, self.rng, self.enabled, self.emit = settings, rng, enabled, emit
+        self.calls_out: dict[int, tuple[Customer, float]] = {}  # by name: for whom, units added
+        self.answered_at = NEVER
+        self.ask_share, self.mean_stake = 0.5, 0.0  # of the questions asked; what one may cost beyond a quota
+        self.room_odds = {p.name: 0.5 for p in settings.plans}  # share of the answers that showed room
+        self.to_report: dict[str, Customer] = {}  # customers with use that the counter was not told
+
+    def doubtful(self, request: PendingRequest) -> bool:
+        """Whether the slice holds next to nothing of it, so that it is likely to be beyond its quota."""
+        return request.customer.slice.level < DOUBTFUL_SHARE * request.units
+
+    def pays(self, plan: api.Plan) -> bool:
+        """Whether a request of which nothing is known pays on the mean."""
+        return self.room_odds[plan.name] > plan.over_cost / (1 + plan.over_cost)
+
+    def pays_unasked(self, request: PendingRequest) -> bool:
+        """Whether one that is not asked about pays on the mean: a flood comes back soon at each gateway."""
+        unlikely = request.returned_early or (request.is_retry and self.doubtful(request))
+        return self.pays(request.plan) and not unlikely
+
+    def ask(self, now: float, customer: Customer, request: PendingRequest | None = None,
+            ceiling_short: bool = False) -> bool:
+        """Adds this gateway's use to the count and asks for the total; False if not now.  The request is
+        counted with the call: two gateways that ask at once are not told of the same room."""
+        count = customer.count
+        if not self.enabled or count.asked_at != NEVER:
+            return self.enabled and request is not None  # the answer that is due serves it as well
+        if request is not None and not self._sample(customer, request, ceiling_short):
+            return False
+        self._choose_name(now, customer)
+        count.asked_at = now
+        self.to_report.pop(customer.key, None)
+        self.calls_out[count.name] = customer, count.unreported
+        self.emit(api.Count(count.name, round(count.unreported, 3), 2 * EPOCH))
+        return True
+
+    def _sample(self, customer: Customer, request: PendingRequest, ceiling_short: bool) -> bool:
+        """Whether the request is asked about; each question stands for those like it that are not."""
+        probability = self._ask_probability(request)
+        stands_for_others = customer.thin and self.pays(request.plan)
+        asked = ceiling_short or self.rng.random() < probability
+        if asked:
+            weight = probability if stands_for_others and not ceiling_short else 1.0
+            request.counted_units = request.units / weight
+            customer.count.unreported += request.counted_units
+        request.sampled = stands_for_others and not asked
+        return asked
+
+    def _ask_probability(self, request: PendingRequest) -> float:
+        """What has more at stake beyond a quota is asked about first, and so is what is doubtful."""
+        plan, worth = request.plan, request.request_class.worth
+        stake = plan.over_cost * plan.price * worth * request.units
+        self.mean_stake += (stake - self.mean_stake) * (SLOW_SMOOTHING if self.mean_stake else 1.0)
+        share = self.ask_share * (2.0 if self.doubtful(request) else 1.0)
+        by_stake = self.ask_share + (1 - self.ask_share) * stake / max(self.mean_stake, 1e-9)
+        return min(1.0, max(LEAST_ASKED, share * by_stake))
+
+    def _choose_name(self, now: float, customer: Customer) -> None:
+        """The name of the customer's count at this time: a count lives shorter than its name may."""
+        count, offset = customer.count, customer.hash % 1000 / 1000
+        index = int(now / EPOCH + offset)
+        name = customer.hash << 24 | index & 0xFFFFFF
+        if name != count.name:
+            count.name, count.started_at = name, (index - offset) * EPOCH
+            count.own_total, count.others_total, count.renewed = 0.0, 0.0, True
+
+    def withdraw(self, request: PendingRequest) -> None:
+        """Units that were counted but not sent on are taken back: refusals must not drain the count."""
+        if request.counted_units:
+            request.customer.count.unreported -= request.counted_units
+            self.to_report[request.customer.key] = request.customer
+            request.counted_units = 0.0
+
+    def report_large_use(self, now: float) -> None:
+        """Tells the counter of use that has grown large without a question."""
+        for customer in list(self.to_report.values()) if self.enabled else ():
+            self._report_if_large(now, customer)
+
+    def _report_if_large(self, now: float, customer: Customer) -> None:
+        if abs(customer.count.unreported) > LEAST_REPORTED * customer.plan.burst:
+            self.ask(now, customer)
+
+    def answered(self, now: float, event: api.CounterReply, born_at: float) -> Customer | None:
+        """Learns from an answer; returns the customer whose requests waited for it."""
+        customer, added = self.calls_out.pop(event.name, (None, 0.0))
+        if customer is not None:
+            customer.count.asked_at = NEVER
+            if event.outcome is api.Outcome.OK:
+                self._learn(now, event, customer, added, born_at)
+            else:
+                self._failed(event, customer, added)
+        return customer
+
+    def _failed(self, event: api.CounterReply, customer: Customer, added: float) -> None:
+        """Asks less from now on: all gateways together may ask more than the counter can take."""
+        self.ask_share = max(LEAST_ASKED, self.ask_share * (1 - ASK_DECREASE))
+        if event.outcome is api.Outcome.TIMEOUT:  # added, most likely: a late call is still worked on
+            count = customer.count
+            count.unreported, count.own_total = count.unreported - added, count.own_total + added
+
+    def _learn(self, now: float, event: api.CounterReply, customer: Customer, added: float,
+               born_at: float) -> None:
+        self.answered_at = now
+        if event.latency < QUICK * self.settings.counter_timeout:
+            self.ask_share = min(1.0, self.ask_share + ASK_INCREASE)
+        plan, count, estimate = customer.plan, customer.count, customer.estimate
+        count.unreported, count.own_total = count.unreported - added, count.own_total + added
+        others = event.total - count.own_total
+        increase = others - count.others_total
+        # The others take back what they asked for and then refused; a larger fall means a lost count.
+        lost = increase < -self.settings.most_units * customer.spread
+        level = self._level(now, customer, event.total)
+        if plan.ceiling_rate:
+            waiting = sum(request.counted_units for request in customer.waiting)
+            used, since = count.own_total + count.unreported - waiting, max(count.started_at, born_at)
+            customer.ceiling.follow(now, count.name, since, others, increase, used, lost)
+        since = count.started_at if estimate.reported_at == NEVER else estimate.reported_at
+        estimate.others_rate = max(0.0, increase) / max(now - since, estimate.lifetime)
+        estimate.reset(now, level)
+        for request in customer.waiting:
+            room = estimate.level(now) >= request.units
+            self.room_odds[plan.name] += SLOW_SMOOTHING * (room - self.room_odds[plan.name])
+        count.others_total = max(others, 0.0)
+
+    def _level(self, now: float, customer: Customer, total: float) -> float:
+        """What the whole bucket holds by the count's `total`, the waiting requests not taken off.  What is
+        known to be gone is carried over into a new count."""
+        count, plan, estimate = customer.count, customer.plan, customer.estimate
+        waiting = sum(request.units for request in customer.waiting if request.counted_units)
+        used = total + count.unreported - waiting
+        level = plan.burst + plan.rate * (now - count.started_at) - used
+        if count.renewed and estimate.fresh(now):
+            gone = max(0.0, level - max(0.0, estimate.level(now)))
+            count.unreported, level = count.unreported + gone, level - gone
+        count.renewed = False
+        return level
+
+    def correct(self, now: float, customer: Customer, total: float) -> None:
+        """Keeps a count inside the ends of the bucket: idle time adds up to credit, excess use to debt."""
+        plan, count = customer.plan, customer.count
+        level = plan.burst + plan.rate * (now - count.started_at) - total - count.unreported
+        slack = min(1 - self.ask_share + EXACT, INEXACT) * plan.burst
+        # What others have asked for and are about to be refused is no debt: a debt lasts.
+        if level >= -slack / 2:
+            count.in_debt_since = now
+        lasting = now - count.in_debt_since > DEBT_TIMEOUTS * self.settings.counter_timeout
+        if lasting or level > plan.burst + 2 * slack:
+            count.unreported += level - (plan.burst if level > 0 else 0.0)
+            count.in_debt_since = now
+        self._report_if_large(now, customer)
