--- a/scale/report/fits.py
+++ b/scale/report/fits.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 from typing import Literal
 
@@ -10,6 +11,7 @@
 
 LEAST_POINTS = 3  # sizes that a fit needs
 FLAT = 1e-3  # an exponent, or a rise over the whole sweep as a share, that counts as no growth
+LARGEST_LOG = math.log(1e15)  # of a size: a fit that is nearly flat reaches a cost at none that matters
 
 Floats = NDArray[np.float64]
 
@@ -27,10 +29,11 @@
         return float(self.factor * size**self.exponent)
 
     def size_for(self, cost: float) -> float | None:
-        """The size whose cost is `cost`; None if it does not grow, or none is that small."""
+        """The size whose cost is `cost`; None if it does not grow, or at no size that could matter."""
         if self.exponent <= FLAT or cost <= 0:
             return None
-        return float((cost / self.factor) ** (1.0 / self.exponent))
+        exponent = math.log(cost / self.factor) / self.exponent
+        return math.exp(exponent) if exponent < LARGEST_LOG else None
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/scale/test_report.py
+++ b/tests/scale/test_report.py
@@ -114,6 +114,11 @@
     assert fitted(costs).size_for(100) is None
 
 
+def test_a_power_law_that_is_nearly_flat_reaches_a_high_cost_at_no_size_that_matters() -> None:
+    assert PowerLaw(factor=150.0, exponent=0.0015, r2=0.1).size_for(2400.0) is None
+    assert PowerLaw(factor=2.0, exponent=0.5, r2=1.0).size_for(20.0) == pytest.approx(100.0)
+
+
 def test_before_and_after_are_the_oldest_and_newest_commit(tmp_path: Path) -> None:
     write_sweep(tmp_path, OLD, 0, [1.0] * 5)
     again = write_sweep(tmp_path, OLD, 9, [2.0] * 5)
