--- /dev/null
+++ b/scale/commands/report.py
@@ -0,0 +1,92 @@
+"""`python -m scale report`: fits, plots and the capacity page out of the saved results."""
+
+from __future__ import annotations
+
+import sys
+from pathlib import Path
+
+import click
+from rich.console import Console
+from rich.table import Table
+
+from scale.report.evidence import Evidence
+from scale.report.measures import describe
+from scale.report.page import VERSIONS, read_picked, render_page
+from scale.report.plots import plot_all
+from scale.report.tables import describe_growth
+from scale.report.versions import Sweep
+
+ROOT = Path(__file__).resolve().parents[2]
+PAGE = Path("docs/CAPACITY.md")
+FOLDER = click.Path(path_type=Path, file_okay=False)
+OUT_OF_DATE = 1  # exit code
+
+
+def _tables(evidence: Evidence) -> list[Table]:
+    """One table for each sweep, with every measure that has enough points."""
+    return [
+        _table(evidence, sweep) for sweep in evidence.picked.sweeps.values() if evidence.target(sweep.name)
+    ]
+
+
+def _table(evidence: Evidence, sweep: Sweep) -> Table:
+    table = Table(title=f"{sweep.name}, target {evidence.target(sweep.name):,.0f}", title_justify="left")
+    for column in ("measure", "version", "commit", "growth", "at the target"):
+        table.add_column(column)
+    for measure in sweep.after.measures():
+        for version in VERSIONS:
+            run = evidence.run(sweep.name, version)
+            if run is None:
+                continue
+            shown, growth = describe(measure), describe_growth(run.growth(measure))
+            figure = evidence.at_target(sweep.name, measure, version)
+            table.add_row(shown.text, version, run.version, growth, figure.text(shown.unit))
+    return table
+
+
+def _check(page: Path, text: str) -> None:
+    """Ends with OUT_OF_DATE unless the page holds just this text."""
+    if page.exists() and page.read_text(encoding="utf-8") == text:
+        click.echo(f"{page.name} is up to date")
+        return
+    click.echo(f"{page.name} differs from what the saved results give: run python -m scale report", err=True)
+    sys.exit(OUT_OF_DATE)
+
+
+@click.command(name="report")
+@click.option(
+    "--results",
+    type=click.Path(path_type=Path, file_okay=False, exists=True),
+    default=ROOT / "scale" / "results",
+    show_default="scale/results",
+    help="Folder of saved results.",
+)
+@click.option(
+    "--plots",
+    type=FOLDER,
+    default=ROOT / "scale" / "plots",
+    show_default="scale/plots",
+    help="Folder that the plots go to.",
+)
+@click.option(
+    "--page",
+    type=click.Path(path_type=Path, dir_okay=False),
+    default=ROOT / PAGE,
+    show_default=str(PAGE),
+    help="The page that is written, or checked.",
+)
+@click.option("--check", is_flag=True, help="Write nothing; exit 1 if the page is not up to date.")
+def command(results: Path, plots: Path, page: Path, check: bool) -> None:
+    """Fits the saved results, and writes the plots and the capacity page."""
+    picked = read_picked(results)
+    text = render_page(picked, ROOT)
+    if check:
+        _check(page, text)
+        return
+    console = Console()
+    for table in _tables(Evidence(picked)):
+        console.print(table)
+    for path in plot_all(picked, plots):
+        click.echo(f"wrote {path.name}")
+    page.write_text(text, encoding="utf-8")
+    click.echo(f"wrote {page.name}")
--- /dev/null
+++ b/tests/scale/test_run_smoke.py
@@ -0,0 +1,122 @@
+"""One run of the smallest scenario, from the command line: counts only, no times."""
+
+from __future__ import annotations
+
+import signal
+import subprocess
+import sys
+from pathlib import Path
+
+import psutil
+import pytest
+from click.testing import CliRunner
+
+from scale import budget
+from scale.cli import main
+from scale.commands.run import VIOLATIONS
+from scale.results import load_all
+
+SMOKE = Path(budget.__file__).parent / "scenarios" / "smoke.toml"
+REAL_COMMAND = f"exec {sys.executable} -m mulleinhall"
+ENDS_AT_THE_FIRST_REQUEST = """
+import os, socket
+
+host, port = os.environ["EDGE_LISTEN"].split(":")
+server = socket.create_server((host, int(port)))
+while True:
+    connection, _ = server.accept()
+    if b"PING" not in connection.recv(4096):
+        break
+    connection.sendall(b"+PONG\\r\\n")
+"""
+
+
+def test_the_smoke_scenario_runs_and_leaves_nothing_behind(tmp_path: Path) -> None:
+    before = set(psutil.Process().children(recursive=True))
+    result = CliRunner().invoke(
+        main, ["run", str(SMOKE), "--results", str(tmp_path), "--real-command", REAL_COMMAND])
+    assert result.exit_code == 0, result.output
+    assert set(psutil.Process().children(recursive=True)) == before
+    (saved,) = load_all(tmp_path)
+    (point,) = saved.points
+    assert (saved.kind, saved.name) == ("run", "smoke")
+    assert point.sizes["ingresses"] == 9
+    measures = point.measures
+    assert [measures[name] for name in VIOLATIONS] == [0] * len(VIOLATIONS)
+    assert measures["requests"] > measures["real_requests"] > 0
+    assert measures["changes"] >= 6
+    assert measures["change_missing"] == measures["real_change_missing"] == 0
+    assert measures["cold_starts"] >= 2
+    kinds = {event.kind for event in saved.events}
+    assert {"churn_done", "zone_back", "restart_done", "discovery_back", "change"} <= kinds
+
+
+@pytest.fixture
+def no_hollow(tmp_path: Path) -> Path:
+    """The smallest scenario without its hollow ingresses."""
+    path = tmp_path / "no-hollow.toml"
+    text = SMOKE.read_text(encoding="utf-8")
+    for line, replaced in (("hollow = 8", "hollow = 0"), ("spread = 2", ""), ("spread = 4", "")):
+        text = text.replace(line, replaced)
+    path.write_text(text, encoding="utf-8")
+    return path
+
+
+def test_a_real_ingress_that_does_not_start_ends_the_run_in_one_line(no_hollow: Path, tmp_path: Path) -> None:
+    before = set(psutil.Process().children(recursive=True))
+    results = tmp_path / "results"
+    result = CliRunner().invoke(
+        main, ["run", str(no_hollow), "--results", str(results), "--real-command", "echo no room; exit 3"])
+    assert result.exit_code == 2
+    assert "error: real ingress 0: ended with code 3: no room" in result.output
+    assert set(psutil.Process().children(recursive=True)) == before
+    assert not results.exists()
+
+
+def test_a_real_ingress_that_ends_by_itself_fails_the_run(no_hollow: Path, tmp_path: Path) -> None:
+    text = no_hollow.read_text(encoding="utf-8").split("[[events]]")[0]
+    no_hollow.write_text(text.replace("duration_s = 2.5", "duration_s = 0.5"), encoding="utf-8")
+    program = tmp_path / "program.py"
+    program.write_text(ENDS_AT_THE_FIRST_REQUEST, encoding="utf-8")
+    result = CliRunner().invoke(main, ["run", str(no_hollow), "--results", str(tmp_path / "results"),
+                                       "--real-command", f"exec {sys.executable} {program}"])
+    assert result.exit_code == 1
+    (saved,) = load_all(tmp_path / "results")
+    assert saved.points[0].measures["real_died"] == 1
+    assert saved.points[0].measures["lost"] >= 1
+
+
+@pytest.mark.parametrize("missing", ["mulleinhall", ".venv"])
+def test_a_project_that_can_not_be_run_is_named(missing: str, tmp_path: Path) -> None:
+    if missing == ".venv":
+        (tmp_path / "mulleinhall").mkdir()
+        (tmp_path / "deploy").mkdir()
+        (tmp_path / "deploy" / "balancer.toml").write_text('run = "exec .venv/bin/python"', encoding="utf-8")
+    result = CliRunner().invoke(main, ["run", str(SMOKE), "--project", str(tmp_path)])
+    assert result.exit_code == 2
+    assert missing in result.output
+    assert len(result.output.strip().splitlines()) == 1
+
+
+INTERRUPTIONS = [(signal.SIGINT, 8, 4), (signal.SIGTERM, 0, 3)]
+
+
+@pytest.mark.parametrize(("number", "hollow", "processes"), INTERRUPTIONS)
+def test_a_run_that_is_interrupted_ends_what_it_started(number: signal.Signals, hollow: int, processes: int,
+                                                        no_hollow: Path, tmp_path: Path) -> None:
+    """The backends, the clients and a real ingress, and the worker where there are hollow ingresses."""
+    results = tmp_path / "results"
+    scenario = SMOKE if hollow else no_hollow
+    command = [sys.executable, "-m", "scale", "run", str(scenario), "--results", str(results)]
+    run = subprocess.Popen([*command, "--real-command", REAL_COMMAND], cwd=budget.TOOL_ROOT,
+                           stdout=subprocess.PIPE, stderr=subprocess.PIPE, text=True)
+    assert run.stderr is not None
+    assert any('"event": "load"' in line for line in run.stderr)
+    children = psutil.Process(run.pid).children(recursive=True)
+    assert len(children) == processes
+    run.send_signal(number)
+    _, errors = run.communicate(timeout=20.0)
+    assert run.returncode == 130
+    assert errors.strip().splitlines()[-1].endswith("interrupted: all processes of the run were ended")
+    assert not any(child.is_running() for child in children)
+    assert not results.exists()
