--- a/tests/scale/test_slopes.py
+++ b/tests/scale/test_slopes.py
@@ -37,7 +37,7 @@
     assert few["operation_samples"] >= 5
     large = job.model_copy(update={"sizes": base(backends=4_000, ingresses=400, tenants=2_000)})
     many = measure_operations(large).measures
-    # Twenty times as many backends: a choice compares 20 in place of 12, a change moves 264 candidates for 200.
+    # Twenty times as many backends: a choice compares 20 in place of 12, a change moves 264 in place of 200.
     assert many["request_calls_p50"] / few["request_calls_p50"] <= 2.0
     assert many["change_calls"] / few["change_calls"] <= 2.0
 
