--- a/mulleinhall/net/backends.py
+++ b/mulleinhall/net/backends.py
@@ -8,59 +8,28 @@
 import logging
 import socket
 from collections.abc import Callable, Mapping
-from math import inf
 from typing import cast
 
 import hiredis
 
 from mulleinhall.interface import Backend, Outcome, Readiness
 from mulleinhall.net.addresses import AddressBook
+from mulleinhall.net.answers import answer_end, read_load
+from mulleinhall.net.attempt import Attempt
 from mulleinhall.net.clock import Clock
-from mulleinhall.net.frames import BadFrame, array_end
-from mulleinhall.wire import LOADS
+from mulleinhall.net.frames import BadFrame
 
 log = logging.getLogger(__name__)
 
 IDLE_SHARE = 0.6  # of the time after which a backend closes an idle connection: ours goes before
 LEAST_IDLE = 0.1  # s that a connection may rest whatever broke: most are used again sooner
-LARGEST = 1024 * 1024  # bytes of a value: some hold far more than the 64 KiB that commands may
-LONGEST_ANSWER = LARGEST + 8 * 1024  # bytes of a value, figures and a report
-LONGEST_LINE = 1024  # bytes of an error line
 SETTLED = 0.010  # s after an answer before its connection is used again: second copies came up to 4 ms late
 LOGGED = 50  # spoilt answers that are logged one by one; of later ones, every hundredth
-KNOWN_LOADS = frozenset(LOADS.values())
 LOCAL_ERRORS = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL)
 SWEEP = 1.0  # s between looks for idle connections
 ON_THE_WAY = 0.01  # s that a command may take to its backend, some zones further than the attempt before
 
 
-class Attempt:
-    """One attempt at one backend, from the module's `Send` to its outcome."""
-
-    __slots__ = ("backend", "connection", "deadline", "ended", "latest", "number", "parts", "request", "sent",
-                 "timer")
-
-    def __init__(self, request: str, number: int, backend: str, sent: float, deadline: float,
-                 parts: tuple[bytes, bytes, bytes], latest: float = inf) -> None:
-        self.request, self.number, self.backend, self.sent = request, number, backend, sent
-        self.deadline, self.parts = deadline, parts
-        self.latest = latest  # after that it must not be written any more
-        self.connection: Connection | None = None
-        self.timer: asyncio.TimerHandle | None = None
-        self.ended = False
-
-    def written(self) -> bool:
-        """Whether all of it was handed to the system, so that it may have come and run."""
-        return self.connection is not None and not self.connection.unsent
-
-    def command(self, now: float) -> bytes:
-        """The client's command with the time that is left in place of its own."""
-        before, names, after = self.parts
-        left = b"d=%d" % max(1, int((self.deadline - now) * 1000))
-        text = b",".join(left if part.startswith(b"d=") else part for part in names.split(b","))
-        return b"%b$%d\r\n%b%b" % (before, len(text), text, after)
-
-
 class Target:
     """One backend that was sent to, and the connections to it that are idle, the latest used last."""
 
@@ -187,31 +156,6 @@
         self.pool.closed(self)
 
 
-def answer_end(data: bytes) -> int:
-    """Where the answer ends, or -1 if more of it is to come: an array of three, or an error line."""
-    if data[:1] != b"-":
-        return array_end(data, 0, 3, LARGEST, LONGEST_ANSWER, null=True)
-    end = data.find(b"\r\n", 0, LONGEST_LINE)
-    if end < 0 and len(data) >= LONGEST_LINE:
-        raise BadFrame("an endless line")
-    return end + 2 if end >= 0 else -1
-
-
-def read_load(text: bytes | None) -> dict[str, float]:
-    """A load report.  Guards the module against figures that are none: those are left out, one by one."""
-    load = {}
-    for part in text.decode("ascii", "replace").split(",") if text else ():
-        name, _, figure = part.partition("=")
-        name = LOADS.get(name, name)
-        try:
-            number = float(figure)
-        except ValueError:
-            continue
-        if name in KNOWN_LOADS and 0 <= number < inf:
-            load[name] = number
-    return load
-
-
 class Backends:
     """The pool.  Each attempt that is started ends exactly once, with a call of `ended`."""
 
--- a/mulleinhall/net/ingress.py
+++ b/mulleinhall/net/ingress.py
@@ -12,7 +12,8 @@
 
 import mulleinhall.interface as api
 from mulleinhall.logic import Gateway
-from mulleinhall.net.backends import Attempt, Backends
+from mulleinhall.net.attempt import Attempt
+from mulleinhall.net.backends import Backends
 from mulleinhall.net.clients import BadCommand, Clients, Command, Slot, bulk
 from mulleinhall.net.clock import Clock, unix_clock
 from mulleinhall.net.config import Config
--- a/tests/test_net_backends.py
+++ b/tests/test_net_backends.py
@@ -13,7 +13,9 @@
 
 from mulleinhall.interface import Backend, Outcome, Readiness
 from mulleinhall.net import backends as module
-from mulleinhall.net.backends import Attempt, Backends, answer_end, read_load
+from mulleinhall.net.answers import answer_end, read_load
+from mulleinhall.net.attempt import Attempt
+from mulleinhall.net.backends import Backends
 from mulleinhall.net.clock import unix_clock
 from tests.peers import Address, Peer, Reader, Writer, backend, read_command, run, until, value
 
