--- a/tests/test_net_backends_list.py
+++ b/tests/test_net_backends_list.py
@@ -12,7 +12,7 @@
 from mulleinhall.net.addresses import AddressBook
 from mulleinhall.net.backends import Target
 from tests.peers import Address, Late, backend, run, until, value
-from tests.test_net_backends import Pool
+from tests.pool import Pool
 
 COUNT = 1_000
 ROWS = [(Backend(f"s{number}"), ("127.0.0.1", number + 1)) for number in range(COUNT)]
