A client far ahead of its answers is seen to leave; commands in a module of their own

Cause: a connection with more than 256 KiB of commands ahead was not read (Client._pace), so that its end was not seen: its open requests were retried and the rest sent on for nobody. Change: such a client is read on while what is held for all stays below half of its memory (a bytearray drops its front without a copy); beyond that its socket is asked every 50 ms whether the peer has ended. The looks into sockets that stood twice (Client.unread, Connection.stale) are one module; commands are read in net/commands.py (moved).

--- a/mulleinhall/net/backends.py
+++ b/mulleinhall/net/backends.py
@@ -18,6 +18,7 @@
 from mulleinhall.net.attempt import Attempt
 from mulleinhall.net.clock import Clock
 from mulleinhall.net.frames import BadFrame
+from mulleinhall.net.sockets import is_quiet
 
 log = logging.getLogger(__name__)
 
@@ -131,16 +132,6 @@
         """Guards against a backend that has moved: what answers at the old address is another."""
         return self.target.listed and self.address == self.target.address
 
-    def stale(self) -> bool:
-        """Whether the peer has ended or spoken already, though the loop has not told so yet."""
-        try:
-            self.sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
-        except BlockingIOError:
-            return False
-        except OSError:
-            return True
-        return True
-
     def close(self) -> None:
         """Closes at once.  Guards against two attempts out together: the loop ends a connection only at
         its next turn, after the next attempt may have been written; the shutdown goes out now."""
@@ -281,7 +272,7 @@
         for connection in reversed(target.idle[:]):
             if connection.idle_since > now - SETTLED:
                 continue
-            if connection.idle_since >= now - self.idle_time and not connection.stale():
+            if connection.idle_since >= now - self.idle_time and is_quiet(connection.sock):
                 target.idle.remove(connection)
                 return connection
             connection.close()
--- a/mulleinhall/net/clients.py
+++ b/mulleinhall/net/clients.py
@@ -5,19 +5,18 @@
 import asyncio
 import errno
 import logging
-import re
 import socket
 from collections import deque
 from collections.abc import Iterator
-from dataclasses import dataclass
-from math import ceil
 from typing import Any, Protocol, cast
 
 import hiredis
 
-from mulleinhall.interface import RequestClass, Semantics, Settings
+from mulleinhall.interface import Settings
 from mulleinhall.net.clock import Clock
+from mulleinhall.net.commands import BadCommand, Command, CommandReader, bulk
 from mulleinhall.net.frames import BadFrame, array_end
+from mulleinhall.net.sockets import has_input, has_left
 
 log = logging.getLogger(__name__)
 
@@ -29,6 +28,7 @@
 BACKLOG = 512
 AT_ONCE = 16  # connections accepted in one turn of the loop, and places kept free for them
 SWEEP = 0.25  # s between looks at all connections
+LEAVE_CHECK = 0.05  # s between looks whether a client has left that is not read
 PATIENCE = 2.0  # s for a first command, for the rest of one that has begun, and for reading answers
 SILENT = 0.1  # s after which a connection that has not asked yet may go before a new one
 IDLE = 5.0  # s after which a connection without an open request is closed
@@ -37,98 +37,6 @@
 LAST_CHANCE = 0.2  # s for the first request on a connection that comes up while the listener closes
 LOGGED = 50  # malformed commands that are logged one by one; of later ones, every thousandth
 OK, PONG = b"+OK\r\n", b"+PONG\r\n"
-CUSTOMER = re.compile(rb"0{7}[01][0-9a-fA-F]{8}")  # 16 hex digits, a number below 2^33
-WORD = re.compile(rb"[!-~]{1,128}")
-WHOLE = re.compile(r"[0-9]{1,9}")
-DECIMAL = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?")
-
-
-class BadCommand(Exception):
-    """A command that can't be understood; the text says why."""
-
-
-@dataclass(slots=True)
-class Command:
-    """A well-formed request of a client."""
-
-    words: list[bytes]
-    customer: str
-    request_class: str
-    plan: str
-    wait: float  # s
-    units: float
-    spread: int
-    first: int
-    repeat: bool
-    write: bool
-
-    def parts(self) -> tuple[bytes, bytes, bytes]:
-        """The command as RESP in three pieces; the middle one is the bare list of names and values."""
-        verb, customer, request, names, *body = self.words
-        before = b"*%d\r\n%b%b%b" % (len(self.words), bulk(verb), bulk(customer), bulk(request))
-        return before, names, b"\r\n" + b"".join(map(bulk, body))
-
-
-def bulk(value: bytes) -> bytes:
-    return b"$%d\r\n%b\r\n" % (len(value), value)
-
-
-class CommandReader:
-    """Reads API.READ and API.WRITE as the settings name classes and plans.
-
-    Guards the buckets against figures that no customer has: what a backend would turn away, or is out of
-    the range that the settings give, never becomes a request.
-    """
-
-    def __init__(self, settings: Settings) -> None:
-        self.classes: dict[str, RequestClass] = {c.name: c for c in settings.classes}
-        self.plans = {p.name for p in settings.plans}
-        self.gateways, self.most_units = settings.gateways, settings.most_units
-
-    def read(self, verb: bytes, words: list[bytes]) -> Command:
-        write = verb == b"API.WRITE"
-        if not (len(words) == 4 or (write and len(words) == 5)):
-            raise BadCommand("wrong number of arguments")
-        if not CUSTOMER.fullmatch(words[1]):
-            raise BadCommand("the customer is not a number of 16 hex digits")
-        if not WORD.fullmatch(words[2]):
-            raise BadCommand("no id")
-        try:
-            pairs = [pair.split("=", 1) for pair in words[3].decode("ascii").split(",")]
-            names = dict(pairs)
-        except ValueError:
-            raise BadCommand("no list of names and values") from None
-        if len(names) < len(pairs):
-            raise BadCommand("a name stands twice")
-        for key in ("c", "t", "d"):
-            if key not in names:
-                raise BadCommand(f"{key} is missing")
-        cls = self.classes.get(names["c"])
-        if cls is None:
-            raise BadCommand("unknown class")
-        if names["t"] not in self.plans:
-            raise BadCommand("unknown plan")
-        if write is (cls.semantics is Semantics.SAFE):
-            raise BadCommand("the class belongs to the other command")
-        if cls.semantics is Semantics.KEYED and not names.get("k"):
-            raise BadCommand("k is missing")
-        units = names.get("units", "1")
-        if not DECIMAL.fullmatch(units) or not 0 < float(units) <= self.most_units:
-            raise BadCommand("bad number: units")
-        if names.get("r", "0") not in ("0", "1"):
-            raise BadCommand("bad number: r")
-        return Command(words, words[1].decode().lower(), names["c"], names["t"],
-                       # A client that is late itself counts its wait from when it should have sent.
-                       _whole(names, "d", 1, ceil(2 * cls.deadline * 1000)) / 1000, float(units),
-                       _whole(names, "spread", 1, self.gateways),
-                       _whole(names, "first", 0, self.gateways - 1), names.get("r") == "1", write)
-
-
-def _whole(names: dict[str, str], key: str, least: int, most: int) -> int:
-    text = names.get(key, str(least))
-    if not WHOLE.fullmatch(text) or not least <= int(text) <= most:
-        raise BadCommand(f"bad number: {key}")
-    return int(text)
 
 
 class Handler(Protocol):
@@ -163,11 +71,12 @@
         self.reader = hiredis.Reader()
         self.slots: deque[Slot] = deque()
         self.transport: asyncio.Transport | None = None
-        self.rest = b""  # what came and is no whole command yet, or is not read yet
+        self.rest = bytearray()  # what came and is no whole command yet, or is not read yet
         self.arrived = self.used = server.clock()
         self.since: float | None = None  # when the command began that has come in part only
         self.choked_at: float | None = None  # since when the client has not read its answers
         self.bad, self.thrown, self.full, self.ending = 0, 0, False, False
+        self.leave_timer: asyncio.TimerHandle | None = None  # runs while the client is not read
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)  # uvloop has a class of its own
@@ -180,40 +89,49 @@
             return
         self.arrived = self.server.clock()
         self.server.held += len(data)
-        self.rest = self.rest + data if self.rest else data
-        self._parse()
+        self.rest += data
+        if self._held_back():
+            self._pace()
+        else:
+            self._parse()
         if self.rest and self.server.held > self.server.most_held and not self.ending:
             # Guards the memory: large commands that come in part only, on many connections at once.
             self._broken("too much is on the way")
 
+    def _held_back(self) -> bool:
+        """Whether no further command is taken: enough wait for an answer, or the client reads none."""
+        return self.full or self.choked_at is not None
+
     def _parse(self) -> None:
-        data, self.rest, at, whole = self.rest, b"", 0, True
-        self.server.held -= len(data)
+        rest, at, whole = self.rest, 0, True
         while self.transport is not None and not self.ending and self.choked_at is None:
             self.full = len(self.slots) >= MOST_PIPELINED
-            if self.full or at == len(data):
+            if self.full or at == len(rest):
                 break
             try:
-                end = array_end(data, at, MOST_WORDS, LARGEST, LONGEST_COMMAND)
+                end = array_end(rest, at, MOST_WORDS, LARGEST, LONGEST_COMMAND)
                 if end < 0:
                     whole = False
                     break
-                self.reader.feed(data[at:end])
+                self.reader.feed(bytes(rest[at:end]))
                 words = self.reader.gets()
             except (BadFrame, hiredis.HiredisError) as error:
                 self._broken(str(error))
                 break
             at, self.since = end, None
             self._command(words)
-        if not self.ending and self.transport is not None:
-            self.rest = data[at:]
-            self.server.held += len(self.rest)
+        self._consume(len(rest) if self.ending or self.transport is None else at)
         if whole:
             self.since = None
         elif self.since is None:
             self.since = self.arrived
         self._pace()
 
+    def _consume(self, size: int) -> None:
+        """Drops the first bytes of what came; from a bytearray that costs no copy of the others."""
+        del self.rest[:size]
+        self.server.held -= size
+
     def _command(self, words: list[bytes]) -> None:
         slot = Slot(self)
         if not self.slots:
@@ -247,8 +165,7 @@
         """Nothing that follows can be understood: the connection ends after the answers that are owed."""
         self.server.note(why)
         self.ending = True
-        self.server.held -= len(self.rest)
-        self.rest = b""
+        self._consume(len(self.rest))
         if not self.slots:
             self.server.busy(self)
         slot = Slot(self)
@@ -280,18 +197,11 @@
             self.full = False
             self.server.loop.call_soon(self._parse)
 
-    def unread(self) -> bool:
-        """Whether something has come that the loop has not told of yet."""
-        try:
-            return bool(self.sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT))
-        except OSError:
-            return False
-
     def end_if_quiet(self) -> None:
         """Closes, unless something is to come.  Guards requests that are half here, or here and unread: a
         close would lose them, and be a reset, which may take the answer before them along.  While an answer
         goes out it reads no more, so that one is not closed either; `look` comes back to it."""
-        if self.transport is not None and not (self.slots or self.rest or self.unread()
+        if self.transport is not None and not (self.slots or self.rest or has_input(self.sock)
                                                or self.transport.get_write_buffer_size()):
             self.transport.close()
 
@@ -320,16 +230,25 @@
         return PATIENCE if fresh else IDLE
 
     def _pace(self) -> None:
-        """Back-pressure: a client that does not read its answers, or sends far ahead, is not read beyond what
-        a command may take.  Up to there it is: that it has left can be seen in no other way."""
+        """Back-pressure: a client that does not read its answers, or sends far ahead, is not read where what
+        is held for all takes half of its memory.  Up to there it is: that tells best when it leaves."""
         if self.transport is None or self.transport.is_closing() or self.ending:
             return
-        held_back = self.full or self.choked_at is not None
-        if held_back and (len(self.rest) >= LONGEST_COMMAND or 2 * self.server.held > self.server.most_held):
+        if self._held_back() and 2 * self.server.held > self.server.most_held:
             self.transport.pause_reading()
+            if self.leave_timer is None:
+                self.leave_timer = self.server.loop.call_later(LEAVE_CHECK, self._check_left)
         else:
             self.transport.resume_reading()
 
+    def _check_left(self) -> None:
+        """Guards against attempts for a client that left while it is not read: the loop does not tell."""
+        self.leave_timer = None
+        if self.transport is not None and has_left(self.sock):
+            self.transport.abort()
+        else:
+            self._pace()
+
     def pause_writing(self) -> None:
         self.choked_at = self.server.clock()
         self._pace()
@@ -348,8 +267,7 @@
     def gone(self) -> None:
         """The client went away: nobody waits for what is open."""
         self.transport, slots, self.slots = None, self.slots, deque()
-        self.server.held -= len(self.rest)
-        self.rest = b""
+        self._consume(len(self.rest))
         self.server.busy(self)
         for slot in slots:
             if slot.data is None:
@@ -474,7 +392,7 @@
                 if now - client.used < age:
                     break
                 if client.transport is None or not (
-                        client.rest or client.unread() or client.transport.get_write_buffer_size()):
+                        client.rest or has_input(client.sock) or client.transport.get_write_buffer_size()):
                     yield client
 
     def _sweep(self) -> None:
--- a/mulleinhall/net/frames.py
+++ b/mulleinhall/net/frames.py
@@ -10,7 +10,7 @@
     """What came is no frame, or one beyond the limits; nothing behind it can be understood."""
 
 
-def _part(data: bytes, at: int, mark: int) -> None:
+def _part(data: bytes | bytearray, at: int, mark: int) -> None:
     """A header that is no figure from 0 up: returns if it may still become one."""
     text = data[at:at + LONGEST_HEADER].partition(b"\r")
     if text[0] and text[0][0] != mark:
@@ -23,7 +23,8 @@
         raise BadFrame("broken frame: a length too large or none")
 
 
-def array_end(data: bytes, at: int, words: int, largest: int, total: int, null: bool = False) -> int:
+def array_end(data: bytes | bytearray, at: int, words: int, largest: int, total: int,
+              null: bool = False) -> int:
     """Where the array of bulk strings that starts at `at` ends, or -1 if more of it is to come.
 
     Guards against counts and lengths that a peer only claims: each is judged as soon as its header is
@@ -42,7 +43,7 @@
         end = find(b"\r\n", at, at + LONGEST_HEADER)
         text = data[at + 1:end]
         if end < 0 or data[at] != STRING or not text.isdigit():
-            if null and b"$-1\r\n".startswith(data[at:at + 5]):
+            if null and b"$-1\r\n".startswith(bytes(data[at:at + 5])):
                 if end < 0:
                     return -1
                 at = end + 2
@@ -53,7 +54,7 @@
         at = end + 2 + size
         if size > largest or at > most:
             raise BadFrame("value too large")
-        tail = data[at:at + 2]
+        tail = bytes(data[at:at + 2])
         if tail != b"\r\n":
             if not b"\r\n".startswith(tail):
                 raise BadFrame("broken frame: a length that does not fit")
--- a/mulleinhall/net/ingress.py
+++ b/mulleinhall/net/ingress.py
@@ -14,8 +14,9 @@
 from mulleinhall.logic import Gateway
 from mulleinhall.net.attempt import Attempt
 from mulleinhall.net.backends import Backends
-from mulleinhall.net.clients import BadCommand, Clients, Command, Slot, bulk
+from mulleinhall.net.clients import Clients, Slot
 from mulleinhall.net.clock import Clock, unix_clock
+from mulleinhall.net.commands import BadCommand, Command, bulk
 from mulleinhall.net.config import Config
 from mulleinhall.net.counter import Counter
 from mulleinhall.net.discovery import Discovery
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import socket
+import struct
 from collections.abc import Awaitable, Callable, Coroutine
 from typing import Any, Self
 
@@ -76,6 +77,13 @@
             writer.close()
 
 
+def reset(writer: Writer) -> None:
+    """Ends a connection so that its peer sees a reset."""
+    sock = writer.get_extra_info("socket")
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    writer.transport.abort()
+
+
 async def read_command(reader: Reader) -> list[bytes]:
     count = int((await reader.readuntil(b"\r\n"))[1:])
     words = []
--- a/tests/test_net_agent.py
+++ b/tests/test_net_agent.py
@@ -3,13 +3,11 @@
 from __future__ import annotations
 
 import asyncio
-import socket
-import struct
 
 import pytest
 
 from mulleinhall.net.agent import Crowded, HttpAgent, TimedOut, Unavailable
-from tests.peers import Peer, Reader, Writer, run, until
+from tests.peers import Peer, Reader, Writer, reset, run, until
 
 LIST = b'{"version":1}'
 MOST = 1000  # bytes of an answer
@@ -24,13 +22,6 @@
     return await reader.readuntil(b"\r\n\r\n")
 
 
-def reset(writer: Writer) -> None:
-    """Ends a connection so that its peer sees a reset."""
-    sock = writer.get_extra_info("socket")
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-    writer.transport.abort()
-
-
 def agent_that_sends(*answers: bytes) -> Peer:
     """Sends one of the answers for each call, the last one again and again, on any connection."""
     left = list(answers)
--- a/tests/test_net_crossings.py
+++ b/tests/test_net_crossings.py
@@ -14,7 +14,7 @@
 import mulleinhall.interface as api
 from mulleinhall.net import clients, ingress
 from mulleinhall.net.ingress import Ingress
-from tests.peers import SETTINGS, Address, Caller, backend, command, config, entry, resp, run, until
+from tests.peers import SETTINGS, Address, Caller, backend, command, config, entry, reset, resp, run, until
 from tests.test_net_ingress import Stub, send, serving
 
 
@@ -173,6 +173,75 @@
     run(body())
 
 
+FAR_AHEAD = 8000  # commands: more than the 256 KiB that one command may have
+
+
+def test_that_a_client_very_far_ahead_has_left_is_seen_and_the_rest_not_sent_on(
+        monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(clients, "MOST_PIPELINED", 4)
+
+    async def body() -> None:
+        async with backend(b"") as peer, serving(config(entry(peer.address))) as (served, address):
+            stub = Stub(send)
+            served.gateway = stub  # type: ignore[assignment]
+            caller = await Caller.to(address)
+            ahead = b"".join(command(str(n), d=4000) for n in range(FAR_AHEAD))
+            assert len(ahead) > clients.LONGEST_COMMAND
+            caller.writer.write(ahead)
+            await caller.writer.drain()
+            await until(lambda: len(served.open) == 4)
+            caller.writer.close()
+            await asyncio.wait_for(until(lambda: len(stub.of(api.Abandoned)) == 4), 2.0)
+            assert len(stub.of(api.Request)) == 4 and not served.clients.held
+
+    run(body())
+
+
+@pytest.mark.parametrize("with_reset", [False, True])
+def test_that_a_client_left_is_seen_where_the_memory_allows_to_read_no_more(
+        with_reset: bool, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(clients, "MOST_PIPELINED", 4)
+
+    async def body() -> None:
+        async with backend(b"") as peer, serving(config(entry(peer.address))) as (served, address):
+            stub = Stub(send)
+            served.gateway = stub  # type: ignore[assignment]
+            served.clients.most_held = 3000
+            caller = await Caller.to(address)
+            caller.writer.write(b"".join(command(str(n), d=4000) for n in range(4 + 20)))
+            await until(lambda: served.clients.held > 1500)
+            [client] = served.clients.connections
+            await until(lambda: client.leave_timer is not None)
+            caller.writer.write(command("behind", d=4000))  # not read: what ends the connection comes behind
+            if with_reset:
+                reset(caller.writer)
+            else:
+                caller.writer.close()
+            await asyncio.wait_for(until(lambda: len(stub.of(api.Abandoned)) == 4), 2.0)
+            assert len(stub.of(api.Request)) == 4 and not served.clients.held
+
+    run(body())
+
+
+def test_that_a_client_left_is_seen_though_it_reads_no_answers_and_is_far_ahead() -> None:
+    async def body() -> None:
+        async with backend(b"") as peer, serving(config(entry(peer.address))) as (served, address):
+            stub = Stub(send)
+            served.gateway = stub  # type: ignore[assignment]
+            caller = await Caller.to(address)
+            caller.writer.write(command("first", d=4000))
+            await until(lambda: served.open)
+            [client] = served.clients.connections
+            client.pause_writing()  # as the transport does where the client reads nothing
+            caller.writer.write(b"".join(command(str(n), d=4000) for n in range(FAR_AHEAD)))
+            await caller.writer.drain()
+            caller.writer.close()
+            await asyncio.wait_for(until(lambda: stub.of(api.Abandoned)), 1.0)
+            assert len(stub.of(api.Request)) == 1 and not served.clients.held
+
+    run(body())
+
+
 def test_connections_that_wait_for_a_place_as_the_listener_closes_are_served() -> None:
     """All places are taken when the restart begins; more connections with a request wait behind."""
     async def body() -> None:
