A count is corrected under a lease, by one gateway; a failed call halves what is asked

Totals stood up to 100 units off a burst of 8: all gateways that saw a count beyond its ends corrected it at once and then each other's corrections (UsageCounter.correct: -54, -59, then +57, +53, +51 within 0.1 s), and a debt seen once, which others were about to give back, was written off. And for 0.5 to 1 s at the start of the burst one part of the counter answered nobody: with shares cut by a fifth for each failure 14% to 30% of all calls failed, and each gateway that met a customer first then sent. Change: who corrects first adds to a name that the counter forgets after ten time-outs; only the first does. A debt has to be seen twice, half a second apart; the level corrected is that before the waiting requests. A failed call halves the share that is asked, once a time-out.

--- a/mulleinhall/logic/admission.py
+++ b/mulleinhall/logic/admission.py
@@ -25,8 +25,7 @@
         if customer is not None:
             customer.resize(now, event)
         if customer is None or customer.plan is not plan:
-            most = self.settings.most_units
-            customer = Customer(event, plan, now, process_age, self.counter.enabled, most)
+            customer = Customer(event, plan, now, process_age, self.counter.enabled, self.settings.most_units)
             self.by_key[event.customer] = self.by_hash[customer.hash] = customer
         return customer
 
@@ -36,7 +35,6 @@
             self.by_hash.pop(self.by_key.pop(key).hash, None)
             self.counter.to_report.pop(key, None)
 
-
     def wants_counter(self, now: float, request: PendingRequest) -> bool:
         """Whether to ask the counter first: the slice is low, and there may be enough elsewhere by now."""
         customer, estimate, ask_share = request.customer, request.customer.estimate, self.counter.ask_share
@@ -71,10 +69,8 @@
     def _worth_the_risk(self, now: float, request: PendingRequest) -> bool:
         """Whether a thin slice sends what could not be asked about: the counter is crowded but not dead."""
         estimate, alive = request.customer.estimate, now - self.counter.answered_at < EPOCH / 3
-        if not request.customer.thin or not alive or not self.counter.pays_unasked(request):
-            return False
-        recent = now - estimate.reported_at < EPOCH / 3
-        return not recent or estimate.level(now) >= request.units
+        used_up = now - estimate.reported_at < EPOCH / 3 and estimate.level(now) < request.units
+        return request.customer.thin and alive and self.counter.pays_unasked(request) and not used_up
 
     def _use_is_known(self, now: float, customer: Customer) -> bool:
         """Whether there is fresh word of the use elsewhere: a total, or a report from each sibling."""
--- a/mulleinhall/logic/backend.py
+++ b/mulleinhall/logic/backend.py
@@ -40,9 +40,8 @@
         self.pace, self.pace_at = 1.0, now  # its answer time over the mean of the class
         self.mean_wait = BUSY_WAIT  # answer time over the aim
         self.set_limit(INITIAL_LIMIT)
-        self.limit_cut_at, self.limit_was_cut = now, False
+        self.limit_cut_at, self.retry_at, self.heard_at, self.limit_was_cut = now, now, now, False
         self.failures, self.rejections, self.unreachable = 0, 0, False  # the first two: in a row
-        self.retry_at, self.heard_at = now, now
         self.cold_budget = TokenBucket(0.0, 1.0, budget_level, now)
 
     def set_available(self, available: bool) -> None:
--- a/mulleinhall/logic/balancer.py
+++ b/mulleinhall/logic/balancer.py
@@ -67,8 +67,7 @@
         subset = self.subsetting.subset()
         candidates = dict.fromkeys(subset + self.subsetting.reserve(subset))
         for name in [*(info.id for info in event.backends if info.id in candidates), *candidates]:
-            if name not in self.backends:
-                self.backends[name] = self._tracked(name, now)
+            self.backends[name] = self._tracked(name, now)
         for name, backend in list(self.backends.items()):
             backend.set_available(name in candidates)
             if not backend.available and not backend.attempts_out:
--- a/mulleinhall/logic/customer.py
+++ b/mulleinhall/logic/customer.py
@@ -1,6 +1,7 @@
 """What a gateway knows of one customer: its slices of the limits, its counted use, its open attempts."""
 
 from dataclasses import dataclass
+from math import inf
 from zlib import crc32
 
 import mulleinhall.interface as api
@@ -18,13 +19,15 @@
     """This gateway's part in a customer's count at the shared counter."""
 
     started_at: float  # when the count of this name began
-    in_debt_since: float  # since when every total stood for a bucket below zero
+    in_debt_since: float = inf  # since when every total stood for a bucket below zero
     name: int = NO_COUNT
     own_total: float = 0.0  # units that this gateway added to it
     others_total: float = 0.0  # units that the others had added when last heard of
     unreported: float = 0.0  # units used here that were not added yet
+    level: float = 0.0  # what the whole bucket held by the last total, beyond its ends too
     renewed: bool = False  # a new name, of which no total is known yet
     asked_at: float = NEVER  # when the call that is out was made
+    lease_asked_at: float = NEVER  # when the lease to correct it was asked for last
 
 
 class Customer:
@@ -41,7 +44,7 @@
         self.ceiling = Ceiling(plan, self.spread, process_age, now)
         self.open, self.open_limit = 0, max(1, int(plan.open_limit / self.spread))
         self.estimate = QuotaEstimate(plan, now, self.thin)
-        self.count = CountedUse(now, now)
+        self.count = CountedUse(now)
         self.used = 0.0  # units, reported to peers as a running total
         self.waiting: list[PendingRequest] = []  # for the counter's answer
 
@@ -60,10 +63,9 @@
         idle = now - self.seen_at > FORGET_AFTER and not self.open and not self.waiting
         return idle and all(bucket.fits(now, bucket.capacity) for bucket in (self.slice, self.ceiling.slice))
 
-    def siblings(self, settings: api.Settings) -> list[int]:
+    def siblings(self, settings: api.Settings) -> set[int]:
         """The numbers of the other gateways that this customer may use."""
-        numbers = ((self.first + n) % settings.gateways for n in range(self.spread))
-        return [n for n in numbers if n != settings.number]
+        return {(self.first + n) % settings.gateways for n in range(self.spread)} - {settings.number}
 
     def slice_fits(self, now: float, units: float) -> bool:
         """Whether the slice holds `units`; a full slice is raised to a request that is larger than it."""
--- a/mulleinhall/logic/gateway.py
+++ b/mulleinhall/logic/gateway.py
@@ -33,8 +33,8 @@
         self.plans = {p.name: p for p in settings.plans}
         self.actions: list[api.Action] = []
         self.answer_times = AnswerTimes(settings)
-        self.overload = OverloadGuard(self.answer_times, self.rng)
         self.balancer = LoadBalancer(settings, self.answer_times, self.rng)
+        self.overload = OverloadGuard(self.answer_times, self.rng, self.balancer.totals)
         # Half of what a receiver takes in a second, for losses and bursts.
         peer_period = max(PEER_PERIOD, 2 * settings.gateways / max(1.0, settings.peer_rate))
         # Reports from all peers are worth more than a count, while they are few enough to come often.
@@ -103,7 +103,7 @@
         if request.finished:
             return self.counter.withdraw(request)
         request.inside_quota = self.admission.inside_quota(now, request)
-        pressure, plan = self._pressure(now), request.plan
+        pressure, plan = self.overload.pressure(now), request.plan
         pays_beyond = plan.over_worth > plan.over_cost and pressure < ROOM_BELOW
         under_ceiling = not plan.ceiling_rate or request.customer.under_ceiling(now, request.units)
         admitted = (request.inside_quota or pays_beyond) and under_ceiling
@@ -114,18 +114,13 @@
         if not admitted or not self._send(now, request, explore):
             self._finish(request)
 
-    def _pressure(self, now: float) -> float:
-        """The share of requests to shed; below zero there is room."""
-        return self.overload.pressure(now, self.balancer.totals)
-
     def _finish(self, request: PendingRequest) -> None:
         """The final answer from here: refused if that does no harm, else failed."""
         request.finished = True
         self.counter.withdraw(request)
         self.requests.pop(request.id, None)
         # The whole bucket refills in this time, and the client may come back through another gateway.
-        advise = request.plan.rate and self.settings.retry_after
-        wait = request.units / request.plan.rate if advise else 0.0
+        wait = request.units / request.plan.rate if request.plan.rate and self.settings.retry_after else 0.0
         self._emit(api.Refuse(request.id, wait) if request.may_refuse() else api.Fail(request.id))
 
     def _send(self, now: float, request: PendingRequest, explore: bool = False) -> bool:
@@ -214,7 +209,7 @@
         """Retries or finishes.  Retries make a jam worse: they keep to spare room and to a budget."""
         in_time = now + self.answer_times.mean(request.request_class) < request.deadline
         useful = in_time and (never_ran or self.retry_budget.level >= 1)
-        if useful and self._pressure(now) < 0 and self._send(now, request):
+        if useful and self.overload.pressure(now) < 0 and self._send(now, request):
             self.retry_budget.take(0.0 if never_ran else 1.0)
         else:
             self._finish(request)
@@ -227,7 +222,7 @@
         for request in waiting:
             self._decide(now, request)
         if event.outcome is api.Outcome.OK:
-            self.counter.correct(now, customer, event.total)
+            self.counter.correct(now, customer)
 
     def _peer_reported(self, now: float, event: api.PeerMessage) -> None:
         for customer_hash, units in self.peers.read(event, now, self.incarnation):
--- a/mulleinhall/logic/overload.py
+++ b/mulleinhall/logic/overload.py
@@ -36,15 +36,14 @@
         """How much work a request is likely to bring, beside the mean request."""
         mean = self.mean(request.request_class)
         means = self.means.values() or [mean]
-        relative = mean * len(means) / sum(means)
-        return relative * request.units / max(self.mean_units, 1e-6)
+        return mean * len(means) / sum(means) * request.units / max(self.mean_units, 1e-6)
 
 
 class OverloadGuard:
     """Tells a jam by how long attempts stay out, and ranks requests by their worth for the work."""
 
-    def __init__(self, answer_times: AnswerTimes, rng: random.Random) -> None:
-        self.answer_times, self.rng = answer_times, rng
+    def __init__(self, answer_times: AnswerTimes, rng: random.Random, totals: LoadTotals) -> None:
+        self.answer_times, self.rng, self.totals = answer_times, rng, totals
         self.worth_per_work: deque[float] = deque()  # of recent requests, the oldest first
         self.sorted_worth: list[float] = []  # the same, in order
         # For each attempt out: when it stops to count, and its weight.
@@ -81,9 +80,9 @@
         self.sends, self.updated_at = self.sends * keep + (1 - keep), now
         return self.mean_weight_out / self.sends
 
-    def pressure(self, now: float, totals: LoadTotals) -> float:
+    def pressure(self, now: float) -> float:
         """The share of requests to shed, by what backends hold and by the mean time out; below 0: none."""
-        used = totals.attempts_out / totals.limit if totals.limit else 1.0
+        used = self.totals.attempts_out / self.totals.limit if self.totals.limit else 1.0
         by_wait = (self.mean_wait(now) - WAIT_SHED_FROM) / (WAIT_SHED_ALL - WAIT_SHED_FROM)
         return max((used - SPARE_SHARE) / (1 - SPARE_SHARE), by_wait)
 
--- a/mulleinhall/logic/peers.py
+++ b/mulleinhall/logic/peers.py
@@ -6,6 +6,7 @@
 
 MISSED_REPORTS = 4  # before a peer's use counts as unknown
 
+
 class PeerReports:
     """For each peer: when it was heard, its process's start, and its running totals by customer."""
 
@@ -15,20 +16,16 @@
         self.incarnations: dict[int, int] = {}
         self.totals: dict[tuple[int, int], float] = {}
 
-    def all_heard(self, now: float, peers: list[int]) -> bool:
+    def all_heard(self, now: float, peers: set[int]) -> bool:
         """Whether each of the peers has reported lately."""
         heard = (self.heard_at.get(peer, NEVER) for peer in peers)
         return now - min(heard, default=now) < MISSED_REPORTS * self.period
 
     def read(self, event: api.PeerMessage, now: float, own_incarnation: int) -> list[tuple[int, float]]:
         """The use that a message reports, as (customer's hash, units since the last report)."""
-        report = parse_report(event.text)
-        if report is None:
-            return []  # garbled: nothing is learned
-        incarnation = report.incarnation
-        known = self.incarnations.get(event.sender, incarnation)
-        if incarnation < known:
-            return []  # from a process that has ended
+        report, known = parse_report(event.text), self.incarnations.get(event.sender, 0)
+        if report is None or (incarnation := report.incarnation) < known:
+            return []  # garbled, or from a process that has ended: nothing is learned
         if incarnation > known:
             self.totals = {k: v for k, v in self.totals.items() if k[0] != event.sender}
         self.incarnations[event.sender], self.heard_at[event.sender] = incarnation, now
--- a/mulleinhall/logic/quota_estimate.py
+++ b/mulleinhall/logic/quota_estimate.py
@@ -28,17 +28,15 @@
     def level(self, now: float) -> float:
         """Units left if the others go on as they did; less is assumed of them the older the report is."""
         elapsed = now - self.updated_at
-        effective = elapsed if self.thin else self.lifetime * (1.0 - exp(-elapsed / self.lifetime))
-        used = self.others_rate * effective + self.own_use
-        return min(self.capacity, self.base + self.rate * elapsed - used)
+        span = elapsed if self.thin else self.lifetime * (1.0 - exp(-elapsed / self.lifetime))
+        return min(self.capacity, self.base + self.rate * elapsed - self.others_rate * span - self.own_use)
 
     def record_others_use(self, now: float, used: float) -> None:
         """A peer reports that `used` units were spent elsewhere since the last report."""
-        elapsed = now - self.updated_at
-        level = self.base + self.rate * elapsed - self.own_use - used
+        span = now - self.updated_at
+        level = self.base + self.rate * span - self.own_use - used
         self.base = max(-self.capacity, min(self.capacity, level))
-        kept = self.others_rate * exp(-elapsed / self.lifetime)
-        self.others_rate = kept + used / max(elapsed, self.lifetime)
+        self.others_rate = self.others_rate * exp(-span / self.lifetime) + used / max(span, self.lifetime)
         self._mark_reported(now)
 
     def reset(self, now: float, level: float) -> None:
--- a/mulleinhall/logic/usage_counter.py
+++ b/mulleinhall/logic/usage_counter.py
@@ -4,6 +4,7 @@
 
 import random
 from collections.abc import Callable
+from math import inf
 
 import mulleinhall.interface as api
 from mulleinhall.logic.ceiling import LEAST_REPORTED
@@ -12,12 +13,13 @@
 from mulleinhall.logic.request import PendingRequest
 
 EPOCH = 30.0  # s: a counter name serves this long; half of the longest life a name may have
-ASK_DECREASE, ASK_INCREASE = 0.2, 0.02  # of the share asked about: after a failure, after a quick answer
+ASK_DECREASE, ASK_INCREASE = 0.5, 0.02  # of the share asked about: after a failure, after a quick answer
 LEAST_ASKED = 0.05  # of what would be asked: goes to a counter that fails, to see it come back
 QUICK = 0.6  # of the time-out: a counter that answers sooner can take more; the way there may take half
 EXACT, INEXACT = 0.1, 0.25  # bursts that a count may pass its ends by; the second where it is crowded
 DOUBTFUL_SHARE = 0.2  # of a request's units: a slice that holds less makes it doubtful
-DEBT_TIMEOUTS = 10.0  # time-outs that a count has stood in debt before the debt is written off
+SETTLING_TIMEOUTS = 10.0  # time-outs: how long a debt must last to be written off; the life of a lease
+LEASE_BIT = 1 << 23  # of a count's index: tells the name of its lease from those of all counts near it
 
 
 class UsageCounter:
@@ -27,7 +29,9 @@
                  emit: Callable[[api.Action], None]) -> None:
         self.settings, self.rng, self.enabled, self.emit = settings, rng, enabled, emit
         self.calls_out: dict[int, tuple[Customer, float]] = {}  # by name: for whom, units added
-        self.answered_at = NEVER
+        self.leases_out: dict[int, tuple[Customer, float]] = {}  # by name: whose count, its correction
+        self.settling_time = SETTLING_TIMEOUTS * settings.counter_timeout  # s
+        self.answered_at, self.cut_at = NEVER, NEVER  # the latter: when `ask_share` was cut last
         self.ask_share, self.mean_stake = 0.5, 0.0  # of the questions asked; what one may cost beyond a quota
         self.room_odds = {p.name: 0.5 for p in settings.plans}  # share of the answers that showed room
         self.to_report: dict[str, Customer] = {}  # customers with use that the counter was not told
@@ -109,18 +113,22 @@
 
     def answered(self, now: float, event: api.CounterReply, born_at: float) -> Customer | None:
         """Learns from an answer; returns the customer whose requests waited for it."""
+        if event.name in self.leases_out:
+            self._lease_answered(now, event)
+            return None
         customer, added = self.calls_out.pop(event.name, (None, 0.0))
         if customer is not None:
             customer.count.asked_at = NEVER
             if event.outcome is api.Outcome.OK:
                 self._learn(now, event, customer, added, born_at)
             else:
-                self._failed(event, customer, added)
+                self._failed(now, event, customer, added)
         return customer
 
-    def _failed(self, event: api.CounterReply, customer: Customer, added: float) -> None:
+    def _failed(self, now: float, event: api.CounterReply, customer: Customer, added: float) -> None:
         """Asks less from now on: all gateways together may ask more than the counter can take."""
-        self.ask_share = max(LEAST_ASKED, self.ask_share * (1 - ASK_DECREASE))
+        if now - self.cut_at > self.settings.counter_timeout:  # calls of one moment fail together
+            self.ask_share, self.cut_at = max(LEAST_ASKED, self.ask_share * (1 - ASK_DECREASE)), now
         if event.outcome is api.Outcome.TIMEOUT:  # added, most likely: a late call is still worked on
             count = customer.count
             count.unreported, count.own_total = count.unreported - added, count.own_total + added
@@ -154,24 +162,35 @@
         known to be gone is carried over into a new count."""
         count, plan, estimate = customer.count, customer.plan, customer.estimate
         waiting = sum(request.units for request in customer.waiting if request.counted_units)
-        used = total + count.unreported - waiting
-        level = plan.burst + plan.rate * (now - count.started_at) - used
+        level = plan.burst + plan.rate * (now - count.started_at) - total - count.unreported + waiting
         if count.renewed and estimate.fresh(now):
             gone = max(0.0, level - max(0.0, estimate.level(now)))
             count.unreported, level = count.unreported + gone, level - gone
-        count.renewed = False
+        count.renewed, count.level = False, level
         return level
 
-    def correct(self, now: float, customer: Customer, total: float) -> None:
+    def correct(self, now: float, customer: Customer) -> None:
         """Keeps a count inside the ends of the bucket: idle time adds up to credit, excess use to debt."""
-        plan, count = customer.plan, customer.count
-        level = plan.burst + plan.rate * (now - count.started_at) - total - count.unreported
+        plan, count, level = customer.plan, customer.count, customer.count.level
         slack = min(1 - self.ask_share + EXACT, INEXACT) * plan.burst
         # What others have asked for and are about to be refused is no debt: a debt lasts.
-        if level >= -slack / 2:
-            count.in_debt_since = now
-        lasting = now - count.in_debt_since > DEBT_TIMEOUTS * self.settings.counter_timeout
-        if lasting or level > plan.burst + 2 * slack:
-            count.unreported += level - (plan.burst if level > 0 else 0.0)
-            count.in_debt_since = now
+        count.in_debt_since = inf if level >= -slack / 2 else min(count.in_debt_since, now)
+        outside = now - count.in_debt_since > self.settling_time or level > plan.burst + 2 * slack
+        if outside and now - count.lease_asked_at > self.settling_time:
+            self._ask_lease(now, customer, level - (plan.burst if level > 0 else 0.0))
         self._report_if_large(now, customer)
+
+    def _ask_lease(self, now: float, customer: Customer, correction: float) -> None:
+        """Only the first to add to a name that is soon forgotten corrects a count: all who see a total would
+        do so at once, and then correct each other's corrections."""
+        count, lease = customer.count, customer.count.name ^ LEASE_BIT
+        count.lease_asked_at, count.in_debt_since = now, inf
+        self.leases_out[lease] = customer, correction
+        self.emit(api.Count(lease, 1.0, self.settling_time))
+
+    def _lease_answered(self, now: float, event: api.CounterReply) -> None:
+        customer, correction = self.leases_out.pop(event.name)
+        granted = event.outcome is api.Outcome.OK and event.total == 1
+        if granted and now < customer.count.started_at + EPOCH:  # else the next count begins
+            customer.count.unreported += correction
+            self._report_if_large(now, customer)
