--- a/tests/test_net_crossings.py
+++ b/tests/test_net_crossings.py
@@ -153,31 +153,12 @@
     run(body())
 
 
-def test_that_a_client_far_ahead_has_left_is_seen_and_the_rest_not_sent_on(
-        monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(clients, "MOST_PIPELINED", 4)
-
-    async def body() -> None:
-        async with backend(b"") as peer, serving(config(entry(peer.address))) as (served, address):
-            stub = Stub(send)
-            served.gateway = stub  # type: ignore[assignment]
-            caller = await Caller.to(address)
-            caller.writer.write(b"".join(command(str(n), d=4000) for n in range(50)))
-            await until(lambda: len(served.open) == 4)
-            caller.writer.close()
-            # Well before the time of the four is up.
-            await asyncio.wait_for(until(lambda: len(stub.of(api.Abandoned)) == 4), 2.0)
-            assert len(stub.of(api.Request)) == 4 and not served.clients.held
-            await until(lambda: not served.clients.connections)
-
-    run(body())
-
-
 FAR_AHEAD = 8000  # commands: more than the 256 KiB that one command may have
 
 
-def test_that_a_client_very_far_ahead_has_left_is_seen_and_the_rest_not_sent_on(
-        monkeypatch: pytest.MonkeyPatch) -> None:
+@pytest.mark.parametrize("commands", [50, FAR_AHEAD])
+def test_that_a_client_far_ahead_has_left_is_seen_and_the_rest_not_sent_on(
+        commands: int, monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(clients, "MOST_PIPELINED", 4)
 
     async def body() -> None:
@@ -185,14 +166,16 @@
             stub = Stub(send)
             served.gateway = stub  # type: ignore[assignment]
             caller = await Caller.to(address)
-            ahead = b"".join(command(str(n), d=4000) for n in range(FAR_AHEAD))
-            assert len(ahead) > clients.LONGEST_COMMAND
+            ahead = b"".join(command(str(n), d=4000) for n in range(commands))
+            assert commands < FAR_AHEAD or len(ahead) > clients.LONGEST_COMMAND
             caller.writer.write(ahead)
             await caller.writer.drain()
             await until(lambda: len(served.open) == 4)
             caller.writer.close()
+            # Well before the time of the four is up.
             await asyncio.wait_for(until(lambda: len(stub.of(api.Abandoned)) == 4), 2.0)
             assert len(stub.of(api.Request)) == 4 and not served.clients.held
+            await until(lambda: not served.clients.connections)
 
     run(body())
 
--- a/tests/test_net_descriptors.py
+++ b/tests/test_net_descriptors.py
@@ -5,8 +5,6 @@
 import asyncio
 import json
 import os
-import resource
-import sys
 from contextlib import suppress
 from pathlib import Path
 
@@ -24,7 +22,7 @@
     resp,
     run,
 )
-from tests.test_net_restart import ROOT, free_port
+from tests.process import first_connection, free_port, running
 
 SOCKETS = 96  # descriptors that the program may hold
 IDLE_CLIENTS = 3 * SOCKETS
@@ -61,14 +59,6 @@
     return peer
 
 
-async def connected(address: Address) -> Caller:
-    """A client's connection, once the program listens."""
-    while True:
-        with suppress(ConnectionError):
-            return await Caller.to(address)
-        await asyncio.sleep(0.01)
-
-
 async def served(address: Address, counts: Peer) -> None:
     """Asks until a request is served and the counter was asked: the list of backends has come then."""
     customer, answers = 0, set[bytes | str]()
@@ -90,39 +80,25 @@
     return len(os.listdir(f"/proc/{process.pid}/fd"))
 
 
-def limit_descriptors() -> None:
-    resource.setrlimit(resource.RLIMIT_NOFILE, (SOCKETS, SOCKETS))
-
-
 def test_idle_clients_take_no_descriptor_of_the_watch_the_counter_or_a_backend(tmp_path: Path) -> None:
     async def body() -> None:
         address, agent = ("127.0.0.1", free_port()), ("127.0.0.1", free_port())
         async with backend() as server, counter() as counts:
             known = json.dumps({"version": 2, "full": True, "servers": [entry(server.address)]}).encode()
-            path = tmp_path / "config.json"
-            path.write_text(config_text(
+            text = config_text(
                 listen=f"127.0.0.1:{address[1]}", discovery=f"127.0.0.1:{agent[1]}", settings=COUNTED,
                 counter="{}:{}".format(*counts.address),
-                limits={"cores": 1.0, "memory_mb": 192, "sockets": SOCKETS}), encoding="utf-8")
-            process = await asyncio.create_subprocess_exec(
-                sys.executable, "-m", "mulleinhall", cwd=ROOT, env=os.environ | {"EDGE_CONFIG": str(path)},
-                preexec_fn=limit_descriptors)
-            idle: list[Caller] = []
-            try:
-                idle += [await connected(address) for _ in range(IDLE_CLIENTS)]
+                limits={"cores": 1.0, "memory_mb": 192, "sockets": SOCKETS})
+            async with running(tmp_path / "config.json", text, descriptors=SOCKETS) as process:
+                idle = [await first_connection(address) for _ in range(IDLE_CLIENTS)]
                 pinged = asyncio.create_task(ping(address))  # those before it were taken, or are not let in
                 while not pinged.done():
                     assert descriptors(process) <= SOCKETS - KEPT
                     await asyncio.sleep(0.01)
                 async with discovery(known, agent[1]):
                     await served(address, counts)
-                assert counts.commands and server.commands
-                assert process.returncode is None
-            finally:
+                assert counts.commands and server.commands and process.returncode is None
                 for each in idle:
                     each.writer.close()
-                if process.returncode is None:
-                    process.kill()
-                await process.wait()
 
     run(body())
--- a/tests/test_net_reload.py
+++ b/tests/test_net_reload.py
@@ -3,9 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-import os
 import signal
-import sys
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from pathlib import Path
@@ -15,7 +13,6 @@
 from mulleinhall.net.ingress import Ingress
 from tests.peers import (
     SETTINGS,
-    Address,
     Caller,
     Peer,
     backend,
@@ -27,26 +24,17 @@
     until,
     value,
 )
+from tests.process import free_port, running
 from tests.test_net_counter import scripted
 from tests.test_net_discovery import Agent, listing
-from tests.test_net_restart import ROOT, free_port
 
 
 @asynccontextmanager
-async def program(path: Path, text: str, address: Address) -> AsyncIterator[asyncio.subprocess.Process]:
-    path.write_text(text, encoding="utf-8")
-    process = await asyncio.create_subprocess_exec(
-        sys.executable, "-m", "mulleinhall", cwd=ROOT, env=os.environ | {"EDGE_CONFIG": str(path)},
-        stderr=asyncio.subprocess.PIPE)
-    try:
-        assert process.stderr is not None
-        while b"serves on" not in await process.stderr.readline():
-            pass
+async def program(path: Path, text: str) -> AsyncIterator[asyncio.subprocess.Process]:
+    """The program with this configuration, once it listens."""
+    async with running(path, text, stderr=asyncio.subprocess.PIPE) as process:
+        await line(process, "serves on")
         yield process
-    finally:
-        if process.returncode is None:
-            process.kill()
-        await process.wait()
 
 
 async def line(process: asyncio.subprocess.Process, *parts: str) -> str:
@@ -70,7 +58,7 @@
             first = Agent(listing(40, True, entry(one.address)))
             # The new agent counts its versions anew, and closes the first call that it gets.
             second = Agent(b"", listing(3, True, entry(two.address, "s2")))
-            async with first.peer, second.peer, program(path, text(first), here) as process:
+            async with first.peer, second.peer, program(path, text(first)) as process:
                 caller = await Caller.to(here)
                 await until(lambda: len(first.asked) == 2)
                 assert await caller.ask(command()) == b"one"
@@ -175,26 +163,20 @@
         number: signal.Signals, tmp_path: Path) -> None:
     """Sent before the first of its own modules is read: it kills the process where nothing blocks it."""
     path, stub = tmp_path / "config.json", tmp_path / "uvloop.py"
-    path.write_text(config_text(listen=f"127.0.0.1:{free_port()}"), encoding="utf-8")
+    text = config_text(listen=f"127.0.0.1:{free_port()}")
     # Stands where uvloop would be found, signals the process as it is loaded, and makes way for the real one.
     stub.write_text(
         f"import os, sys\nos.kill(os.getpid(), {int(number)})\nsys.path.remove({str(tmp_path)!r})\n"
         "del sys.modules['uvloop']\nimport uvloop\n", encoding="utf-8")
 
     async def body() -> None:
-        process = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "mulleinhall", cwd=ROOT, stderr=asyncio.subprocess.PIPE,
-            env=os.environ | {"EDGE_CONFIG": str(path), "PYTHONPATH": str(tmp_path)})
-        assert process.stderr is not None
-        try:
+        async with running(path, text, search=str(tmp_path), stderr=asyncio.subprocess.PIPE) as process:
+            assert process.stderr is not None
             if number is signal.SIGHUP:
                 assert "discovery" in await line(process, "read again")
                 await line(process, "serves on")
                 process.send_signal(signal.SIGTERM)
             assert await process.wait() == 0
             assert b"serves on" not in await process.stderr.read()
-        finally:
-            if process.returncode is None:
-                process.kill()
 
     run(body())
--- a/tests/test_net_restart.py
+++ b/tests/test_net_restart.py
@@ -3,10 +3,8 @@
 from __future__ import annotations
 
 import asyncio
-import os
 import signal
 import socket
-import sys
 import time
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
@@ -32,40 +30,21 @@
     run,
     value,
 )
-
-ROOT = Path(__file__).resolve().parent.parent
-
-
-def free_port() -> int:
-    with socket.create_server(("127.0.0.1", 0)) as server:
-        port: int = server.getsockname()[1]
-        return port
+from tests.process import first_connection, free_port, running
 
 
 @asynccontextmanager
 async def program(peer: Peer, path: Path, settings: dict[str, Any] = SETTINGS) -> AsyncIterator[
         tuple[asyncio.subprocess.Process, Address]]:
+    """The program before a fleet of which each backend is the peer; it listens."""
     address = ("127.0.0.1", free_port())
-    path = path / "config.json"
     fleet = (entry(peer.address, f"s{n}") for n in range(8))
-    path.write_text(config_text(*fleet, settings=settings, listen=f"127.0.0.1:{address[1]}"),
-                    encoding="utf-8")
-    process = await asyncio.create_subprocess_exec(
-        sys.executable, "-m", "mulleinhall", cwd=ROOT, env=os.environ | {"EDGE_CONFIG": str(path)})
-    try:
-        while True:
-            try:
-                caller = await Caller.to(address)
-                break
-            except ConnectionError:
-                await asyncio.sleep(0.01)
+    text = config_text(*fleet, settings=settings, listen=f"127.0.0.1:{address[1]}")
+    async with running(path / "config.json", text) as process:
+        caller = await first_connection(address)
         assert await caller.ask(resp(b"PING")) == b"PONG"
         caller.writer.close()
         yield process, address
-    finally:
-        if process.returncode is None:
-            process.kill()
-            await process.wait()
 
 
 def test_a_planned_restart_loses_nothing(tmp_path: Path) -> None:
@@ -122,12 +101,9 @@
 def test_an_address_that_is_taken_is_told(tmp_path: Path) -> None:
     async def body() -> None:
         with socket.create_server(("127.0.0.1", 0)) as server:
-            path = tmp_path / "config.json"
-            path.write_text(config_text(listen=f"127.0.0.1:{server.getsockname()[1]}"), encoding="utf-8")
-            process = await asyncio.create_subprocess_exec(
-                sys.executable, "-m", "mulleinhall", cwd=ROOT, env=os.environ | {"EDGE_CONFIG": str(path)},
-                stderr=asyncio.subprocess.PIPE)
-            _, errors = await process.communicate()
-            assert process.returncode == 1 and b"listen" in errors
+            text = config_text(listen=f"127.0.0.1:{server.getsockname()[1]}")
+            async with running(tmp_path / "config.json", text, stderr=asyncio.subprocess.PIPE) as process:
+                _, errors = await process.communicate()
+                assert process.returncode == 1 and b"listen" in errors
 
     run(body())
