A client's connection and the event queue in modules of their own; the first list is let go

Change: net/client.py (moved), event_queue.py for both, Config.known dropped once it is handed over.

--- a/mulleinhall/net/ingress.py
+++ b/mulleinhall/net/ingress.py
@@ -6,15 +6,17 @@
 import contextlib
 import logging
 import random
-from collections import deque
 from dataclasses import replace
 from math import ceil, inf
 
 import mulleinhall.interface as api
+from mulleinhall.event_queue import EventQueue
 from mulleinhall.logic import Gateway
+from mulleinhall.net.addresses import AddressBook
 from mulleinhall.net.attempt import Attempt
 from mulleinhall.net.backends import Backends
-from mulleinhall.net.clients import Clients, Slot
+from mulleinhall.net.client import Slot
+from mulleinhall.net.clients import Clients
 from mulleinhall.net.clock import Clock, unix_clock
 from mulleinhall.net.commands import BadCommand, Command, bulk
 from mulleinhall.net.config import Config
@@ -33,6 +35,7 @@
 LAST_WORD = 0.25  # s before the earliest SIGKILL: when the rest is answered
 LOADED = 0.01  # s between the program's start and its first peer: any wait makes up what the start took
 FLUSH = 0.1  # s for the last answers to go out
+NO_LIST = Listing(0, True, (), AddressBook())
 FAILED, BUSY = b"-ERR failed\r\n", b"-BUSY\r\n"
 
 
@@ -61,8 +64,8 @@
         self.ids: set[bytes] = set()  # the clients' own, of requests that have no answer yet
         self.attempts: dict[tuple[str, int], Attempt] = {}  # those that are out
         self.held, self.count = 0, 0
-        self.events: deque[api.Event] = deque()
-        self.running, self.over = False, False
+        self.feed = EventQueue(self._handle).feed  # hands an event to the module
+        self.over = False
         self.known = config.known.version if config.known.backends else None
         self.refusing = False  # what comes now would get no answer from a backend before the process ends
         self.unsupported: set[str] = set()
@@ -76,7 +79,9 @@
 
     async def run(self, stop: asyncio.Event) -> None:
         """Serves until `stop` is set, then lets the clients go and ends."""
-        self.listed(api.ListKind.RESTORED, self.config.known)
+        known, self.config = self.config.known, replace(self.config, known=NO_LIST)
+        self.listed(api.ListKind.RESTORED, known)
+        del known
         # Guards what comes first against the start, which takes more of the processor than a second gives: a
         # machine that listens takes requests, and lists count as told, though the process has no time yet.
         await asyncio.sleep(LOADED)
@@ -226,18 +231,6 @@
 
     # The module
 
-    def feed(self, event: api.Event) -> None:
-        """Hands an event to the module; one that comes up meanwhile waits for its turn."""
-        self.events.append(event)
-        if self.running:
-            return
-        self.running = True
-        try:
-            while self.events:
-                self._handle(self.events.popleft())
-        finally:
-            self.running = False
-
     def _handle(self, event: api.Event) -> None:
         key = getattr(event, "id", None)
         fault = False
--- a/mulleinhall/net/program.py
+++ b/mulleinhall/net/program.py
@@ -33,6 +33,7 @@
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     ingress = Ingress(config)
+    del config  # the list in it may be long, and is needed once
 
     def reload() -> None:
         """Guards the process against a file that is broken or half written: the old values are kept."""
@@ -54,12 +55,12 @@
     """Serves until told to end.  The signals are blocked as this begins, and again as it ends."""
     logging.basicConfig(level=logging.INFO, stream=sys.stderr, format="%(levelname)s %(name)s: %(message)s")
     try:
-        config = load()
+        server = serve(load())
     except BadConfig as error:
         print(f"mulleinhall: {error}", file=sys.stderr)
         return 2
     try:
-        uvloop.run(serve(config))
+        uvloop.run(server)
     except OSError as error:
         print(f"mulleinhall: listen: {error}", file=sys.stderr)
         return 1
--- a/scale/hollow.py
+++ b/scale/hollow.py
@@ -10,10 +10,10 @@
 import math
 import random
 import time
-from collections import deque
 from typing import Any
 
 import mulleinhall.interface as api
+from mulleinhall.event_queue import EventQueue
 from mulleinhall.logic import Gateway
 from mulleinhall.net.clock import unix_clock
 from mulleinhall.net.counter import Counter
@@ -68,8 +68,7 @@
         self.requests: dict[str, OpenRequest] = {}
         self.answered: set[str] = set()  # requests whose final answer is given, while the module may act
         self.count, self.over = 0, False
-        self.events: deque[api.Event] = deque()
-        self.running = False
+        self.feed = EventQueue(self._handle).feed  # hands an event to the module
         self.arriving: OpenRequest | None = None  # its `Request` event is being handled
         self.watch: asyncio.Task[None] | None = None
         self.arrival: asyncio.TimerHandle | None = None
@@ -166,19 +165,9 @@
 
     # Events and actions of the module
 
-    def feed(self, event: api.Event) -> None:
-        """Hands an event to the module; one that comes up meanwhile waits for its turn."""
-        self.events.append(event)
-        if self.running:
-            return
-        self.running = True
-        try:
-            while self.events and not self.over:
-                self._handle(self.events.popleft())
-        finally:
-            self.running = False
-
     def _handle(self, event: api.Event) -> None:
+        if self.over:
+            return
         key = getattr(event, "id", "")
         request = self.requests.get(key)
         before = time.thread_time()
--- a/tests/test_net_crossings.py
+++ b/tests/test_net_crossings.py
@@ -12,7 +12,8 @@
 import pytest
 
 import mulleinhall.interface as api
-from mulleinhall.net import clients, ingress
+from mulleinhall.net import client as client_connection
+from mulleinhall.net import ingress
 from mulleinhall.net.ingress import Ingress
 from tests.peers import SETTINGS, Address, Caller, backend, command, config, entry, reset, resp, run, until
 from tests.test_net_ingress import Stub, send, serving
@@ -39,7 +40,7 @@
 
 def test_commands_beyond_the_most_pipelined_are_served_while_the_program_ends(
         monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(clients, "MOST_PIPELINED", 4)
+    monkeypatch.setattr(client_connection, "MOST_PIPELINED", 4)
 
     async def body() -> None:
         async with backend() as peer, serving(config(entry(peer.address))) as (served, address):
@@ -67,7 +68,7 @@
             if how == "drain":
                 served.clients.drain()
             elif how == "idle":
-                client.look(served.clock() + clients.IDLE + 1)
+                client.look(served.clock() + client_connection.IDLE + 1)
             else:
                 served.clients._spare()
             sock.setblocking(False)
@@ -159,7 +160,7 @@
 @pytest.mark.parametrize("commands", [50, FAR_AHEAD])
 def test_that_a_client_far_ahead_has_left_is_seen_and_the_rest_not_sent_on(
         commands: int, monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(clients, "MOST_PIPELINED", 4)
+    monkeypatch.setattr(client_connection, "MOST_PIPELINED", 4)
 
     async def body() -> None:
         async with backend(b"") as peer, serving(config(entry(peer.address))) as (served, address):
@@ -167,7 +168,7 @@
             served.gateway = stub  # type: ignore[assignment]
             caller = await Caller.to(address)
             ahead = b"".join(command(str(n), d=4000) for n in range(commands))
-            assert commands < FAR_AHEAD or len(ahead) > clients.LONGEST_COMMAND
+            assert commands < FAR_AHEAD or len(ahead) > client_connection.LONGEST_COMMAND
             caller.writer.write(ahead)
             await caller.writer.drain()
             await until(lambda: len(served.open) == 4)
@@ -183,7 +184,7 @@
 @pytest.mark.parametrize("with_reset", [False, True])
 def test_that_a_client_left_is_seen_where_the_memory_allows_to_read_no_more(
         with_reset: bool, monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(clients, "MOST_PIPELINED", 4)
+    monkeypatch.setattr(client_connection, "MOST_PIPELINED", 4)
 
     async def body() -> None:
         async with backend(b"") as peer, serving(config(entry(peer.address))) as (served, address):
@@ -277,7 +278,7 @@
     run(body())
 
 
-async def connected(served: Ingress, count: int) -> list[clients.Client]:
+async def connected(served: Ingress, count: int) -> list[client_connection.Client]:
     await until(lambda: len([c for c in served.clients.connections if c.transport]) == count)
     return list(served.clients.connections)
 
--- a/tests/test_net_ingress.py
+++ b/tests/test_net_ingress.py
@@ -14,6 +14,7 @@
 
 import mulleinhall.interface as api
 from mulleinhall.net import backends as net_backends
+from mulleinhall.net import client as client_connection
 from mulleinhall.net import clients
 from mulleinhall.net import ingress as net_ingress
 from mulleinhall.net.clock import unix_clock
@@ -104,6 +105,19 @@
     run(body())
 
 
+def test_the_list_of_the_configuration_is_let_go_once_it_is_taken_over(
+        caplog: pytest.LogCaptureFixture) -> None:
+    async def body() -> None:
+        started = config(entry(("127.0.0.1", 1)))
+        async with serving(started) as (served, _):
+            assert served.gateway.balancer.infos.keys() == {"s1"}
+            assert not served.config.known.backends and not served.config.known.addresses
+            served.reload(started)
+
+    run(body())
+    assert "what else has changed" not in caplog.text  # the list is no part of what a reload compares
+
+
 @pytest.mark.parametrize("body", [b"x", bytes(range(256)) * 256])
 def test_a_value_goes_through_unchanged(body: bytes) -> None:
     async def script(_: int, reader: Reader, writer: Writer) -> None:
@@ -412,7 +426,7 @@
 
 
 def test_a_client_far_ahead_is_read_no_further(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(clients, "MOST_PIPELINED", 4)
+    monkeypatch.setattr(client_connection, "MOST_PIPELINED", 4)
     most = 0
 
     async def body() -> None:
@@ -449,7 +463,7 @@
 
 @pytest.mark.parametrize("sent", [b"", b"*", b"*4\r\n$8\r\nAPI.R", b"*1\r\n$4\r\nPIN"])
 def test_a_client_that_stays_silent_or_halfway_is_ended(sent: bytes, monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(clients, "PATIENCE", 0.2)
+    monkeypatch.setattr(client_connection, "PATIENCE", 0.2)
     monkeypatch.setattr(clients, "SWEEP", 0.02)
 
     async def body() -> None:
@@ -467,7 +481,7 @@
 
 def test_bytes_that_drip_do_not_draw_a_command_out(monkeypatch: pytest.MonkeyPatch) -> None:
     """The time of a command that comes in part runs from its first byte, not from its latest."""
-    monkeypatch.setattr(clients, "PATIENCE", 0.3)
+    monkeypatch.setattr(client_connection, "PATIENCE", 0.3)
     monkeypatch.setattr(clients, "SWEEP", 0.02)
 
     async def body() -> None:
@@ -485,8 +499,8 @@
 
 
 def test_an_idle_client_is_closed_and_a_busy_one_is_not(monkeypatch: pytest.MonkeyPatch) -> None:
-    for name in ("PATIENCE", "IDLE", "SWEEP"):
-        monkeypatch.setattr(clients, name, 0.05)
+    for module, name in ((client_connection, "PATIENCE"), (client_connection, "IDLE"), (clients, "SWEEP")):
+        monkeypatch.setattr(module, name, 0.05)
 
     async def script(_: int, reader: Reader, writer: Writer) -> None:
         words = await read_command(reader)
@@ -509,7 +523,7 @@
 
 
 def test_a_client_that_does_not_read_is_ended(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(clients, "PATIENCE", 0.1)
+    monkeypatch.setattr(client_connection, "PATIENCE", 0.1)
     monkeypatch.setattr(clients, "SWEEP", 0.02)
 
     async def body() -> None:
@@ -573,18 +587,18 @@
         async with serving(config()) as (served, address):
             caller = await Caller.to(address)
             caller.writer.write(resp(b"NO") * 300)
-            for _ in range(clients.MOST_BAD):
+            for _ in range(client_connection.MOST_BAD):
                 assert isinstance(await caller.answer(), hiredis.ReplyError)
             with pytest.raises((EOFError, ConnectionError)):
                 await caller.answer()
-            assert served.clients.bad == clients.MOST_BAD
+            assert served.clients.bad == client_connection.MOST_BAD
 
     run(body())
 
 
 def test_an_error_is_delivered_though_more_keeps_coming(monkeypatch: pytest.MonkeyPatch) -> None:
     """60 MB behind a length that is refused: little of it is read, and the peer still sees why."""
-    monkeypatch.setattr(clients, "LINGER", 0.2)
+    monkeypatch.setattr(client_connection, "LINGER", 0.2)
     monkeypatch.setattr(clients, "SWEEP", 0.02)
 
     async def body() -> None:
@@ -595,7 +609,7 @@
             client = next(iter(served.clients.connections))
             caller.writer.write(bytes(60_000_000))
             await until(lambda: not served.clients.connections)
-            assert client.thrown < 2 * clients.MOST_THROWN
+            assert client.thrown < 2 * client_connection.MOST_THROWN
             caller.writer.transport.abort()
 
     run(body())
