The slice of a cap on open attempts is rounded up

The slice of the cap was rounded down (Customer): four gateways together used 4 of 7, and requests come unevenly. Change: it is rounded up.

--- a/mulleinhall/logic/customer.py
+++ b/mulleinhall/logic/customer.py
@@ -1,7 +1,7 @@
 """What a gateway knows of one customer: its slices of the limits, its counted use, its open attempts."""
 
 from dataclasses import dataclass
-from math import inf
+from math import ceil, inf
 from zlib import crc32
 
 import mulleinhall.interface as api
@@ -42,7 +42,7 @@
         self.thin = can_learn and plan.rate > 0 and plan.burst < self.spread * most_units
         self.slice = TokenBucket(plan.rate / self.spread, burst, burst, now)
         self.ceiling = Ceiling(plan, self.spread, process_age, now)
-        self.open, self.open_limit = 0, max(1, int(plan.open_limit / self.spread))
+        self.open, self.open_limit = 0, ceil(plan.open_limit / self.spread)
         self.estimate = QuotaEstimate(plan, now, self.thin)
         self.count = CountedUse(now)
         self.used = 0.0  # units, reported to peers as a running total
@@ -56,7 +56,7 @@
         self.spread, self.first = max(1, request.spread), request.first
         for bucket in (self.slice, self.ceiling.slice):
             bucket.rescale(now, factor)
-        self.open_limit = max(1, int(self.plan.open_limit / self.spread))
+        self.open_limit = ceil(self.plan.open_limit / self.spread)
 
     def forgettable(self, now: float) -> bool:
         """Whether nothing is lost by dropping it: a new one with full buckets would be the same."""
