Docstring of Ceiling.follow: what is assumed as a new or lost count begins

Cause: its shorter form said the opposite of what the code does: the ceiling is assumed to hold, not to have lost, what a used up quota leaves of it. No code changed.

--- a/mulleinhall/logic/ceiling.py
+++ b/mulleinhall/logic/ceiling.py
@@ -35,7 +35,7 @@
     def follow(self, now: float, count: int, known_since: float, others: float, increase: float,
                used: float, lost: bool) -> None:
         """Updates the whole from a count that shows `others` units used elsewhere, `increase` of them new,
-        and `used` here.  Before a new or lost count as much was used as a used up quota leaves at most."""
+        and `used` here.  As a new or lost count begins, it is assumed to hold what a used up quota leaves."""
         self.whole.fits(now, 0.0)
         if self.followed_count == count and not lost:
             self.whole.level -= max(0.0, increase)
