--- /dev/null
+++ b/scale/cold/table.py
@@ -0,0 +1,39 @@
+"""What a point of `scale cold` says, as a row of text: for the terminal and for the page."""
+
+from __future__ import annotations
+
+from scale.results import Point
+
+HEAD = (
+    "ingresses",
+    "backends",
+    "load",
+    "start",
+    "last one told after",
+    "admitted",
+    "windows",
+    "of the budget, mean",
+    "most",
+    "windows beyond the budget",
+    "beyond chance",
+    "beyond chance, untold ingresses too",
+)
+
+
+def row(point: Point) -> list[str]:
+    """One text for each column of HEAD."""
+    sizes, measures = point.sizes, point.measures
+    return [
+        f"{sizes['ingresses']:g}",
+        f"{sizes['backends']:g}",
+        f"{sizes['load']:g}",
+        "restarted" if sizes["restarted"] else "replaced",
+        f"{sizes['longest_notice_s']:g} s",
+        f"{measures['sent_share']:.0%}",
+        f"{measures['told_windows']:g}",
+        f"{measures['told_mean']:.2f}",
+        f"{measures['told_most']:.2f}",
+        f"{measures['told_beyond_budget']:g}",
+        f"{measures['told_beyond_chance']:g}",
+        f"{measures['all_beyond_chance']:g}",
+    ]
--- a/scale/commands/cold.py
+++ b/scale/commands/cold.py
@@ -13,6 +13,7 @@
 
 from scale.cold.fleet import Fleet
 from scale.cold.job import ColdStarts, How
+from scale.cold.table import HEAD, row
 from scale.cold.windows import Usage, usage
 from scale.environment import Observer, commit_of
 from scale.project import TOOL_ROOT
@@ -54,16 +55,9 @@
 
 def cold_table(result: Result) -> Table:
     """What the points of a result say, one row each."""
-    table = Table("ingresses", "backends", "load", "start", "last told after", "admitted", "windows",
-                  "of the budget: mean", "most", "beyond it", "beyond chance", "the same, untold ones too")
+    table = Table(*HEAD)
     for point in result.points:
-        sizes, measures = point.sizes, point.measures
-        table.add_row(
-            f"{sizes['ingresses']:g}", f"{sizes['backends']:g}", f"{sizes['load']:g}",
-            "restarted" if sizes["restarted"] else "replaced", f"{sizes['longest_notice_s']:g} s",
-            f"{measures['sent_share']:.1%}", f"{measures['told_windows']:g}", f"{measures['told_mean']:.2f}",
-            f"{measures['told_most']:.2f}", f"{measures['told_beyond_budget']:g}",
-            f"{measures['told_beyond_chance']:g}", f"{measures['all_beyond_chance']:g}")
+        table.add_row(*row(point))
     return table
 
 
