--- a/tests/test_net_ingress.py
+++ b/tests/test_net_ingress.py
@@ -105,19 +105,6 @@
     run(body())
 
 
-def test_the_list_of_the_configuration_is_let_go_once_it_is_taken_over(
-        caplog: pytest.LogCaptureFixture) -> None:
-    async def body() -> None:
-        started = config(entry(("127.0.0.1", 1)))
-        async with serving(started) as (served, _):
-            assert served.gateway.balancer.infos.keys() == {"s1"}
-            assert not served.config.known.backends and not served.config.known.addresses
-            served.reload(started)
-
-    run(body())
-    assert "what else has changed" not in caplog.text  # the list is no part of what a reload compares
-
-
 @pytest.mark.parametrize("body", [b"x", bytes(range(256)) * 256])
 def test_a_value_goes_through_unchanged(body: bytes) -> None:
     async def script(_: int, reader: Reader, writer: Writer) -> None:
--- a/tests/test_net_reload.py
+++ b/tests/test_net_reload.py
@@ -27,6 +27,7 @@
 from tests.process import free_port, running
 from tests.test_net_counter import scripted
 from tests.test_net_discovery import Agent, listing
+from tests.test_net_ingress import serving
 
 
 @asynccontextmanager
@@ -180,3 +181,16 @@
             assert b"serves on" not in await process.stderr.read()
 
     run(body())
+
+
+def test_the_list_of_the_configuration_is_let_go_once_it_is_taken_over(
+        caplog: pytest.LogCaptureFixture) -> None:
+    async def body() -> None:
+        started = config(entry(("127.0.0.1", 1)))
+        async with serving(started) as (served, _):
+            assert served.gateway.balancer.infos.keys() == {"s1"}
+            assert not served.config.known.backends and not served.config.known.addresses
+            served.reload(started)
+
+    run(body())
+    assert "what else has changed" not in caplog.text  # the list is no part of what a reload compares
--- a/tests/test_quota_leases.py
+++ b/tests/test_quota_leases.py
@@ -156,3 +156,32 @@
     [late] = [a for a in play.ask(0.2, customer="c9", spread=GATEWAYS) if isinstance(a, Count)]
     play.at(0.0, CounterReply(late.name, Outcome.FULL))
     assert counter.ask_share == pytest.approx(0.25)
+
+
+CROWD = replace(THIN, gateways=200)
+
+
+def mended(play: Play, total: float) -> list[float]:
+    """What is added beside the question of a request that is sent on or refused; a lease is granted."""
+    play.ask(spread=100)
+    call = [a for a in play.actions if isinstance(a, Count)][-1]
+    answer = play.at(0.001, CounterReply(call.name, Outcome.OK, total, 0.001))
+    added = [a.add for a in answer if isinstance(a, Count) and a.name == call.name]
+    for lease in [a for a in answer if isinstance(a, Count) and a.name != call.name]:
+        granted = play.at(0.001, CounterReply(lease.name, Outcome.OK, 1.0, 0.001))
+        added += [a.add for a in granted if isinstance(a, Count)]
+    for name in list(play.gateway.counter.calls_out):
+        play.at(0.001, CounterReply(name, Outcome.OK, total + sum(added), 0.001))
+    return added
+
+
+def test_a_count_beyond_its_ends_is_put_right() -> None:
+    """Idle time is no credit, and that is so at once; a debt may be what others are about to give back."""
+    play = Play(CROWD)
+    play.gateway.counter.ask_share = 1.0
+    play.now = 30.0 * 3 - 30.0 * (crc32(b"c") % 1000 / 1000)
+    assert mended(play, -40.0) == [pytest.approx(40.0, abs=1.1)]
+    play.now += 0.2
+    assert mended(play, 30.0) == []
+    play.now += 20 * CROWD.counter_timeout
+    assert sum(mended(play, 30.0)) == pytest.approx(-20.0, abs=4.6)  # the store empty
