--- a/review/3/case.py
+++ b/review/3/case.py
@@ -13,8 +13,8 @@
 
 from review.support import harness  # noqa: E402
 
-MEMORY_MB = 96
-BAD_CLIENTS = 500
+MEMORY_MB = 64
+BAD_CLIENTS = 320
 USUAL_CLIENTS = 4
 BATCHES = 4
 COMMANDS_AT_ONCE = 100
