--- a/review/support/harness.py
+++ b/review/support/harness.py
@@ -25,6 +25,7 @@
 HOST = "127.0.0.1"
 BACKEND_COUNT = 6
 HELD, BROKEN, COULD_NOT_RUN = 0, 1, 2
+_returned_ports: set[int] = set()
 
 
 class CaseError(Exception):
@@ -54,10 +55,14 @@
 
 
 def free_port() -> int:
-    """Return a port of the loopback address that nobody uses."""
-    with socket.socket() as sock:
-        sock.bind((HOST, 0))
-        return int(sock.getsockname()[1])
+    """Return a port of the loopback address that nobody uses, and that was not returned before."""
+    while True:
+        with socket.socket() as sock:
+            sock.bind((HOST, 0))
+            port = int(sock.getsockname()[1])
+        if port not in _returned_ports:
+            _returned_ports.add(port)
+            return port
 
 
 def make_settings(**semantics: str) -> dict[str, Any]:
