Complete commands are no longer dropped when unread input exceeds its memory limit

Cause: ClientConnection.data_received closed whichever connection received next once the unprocessed input of all connections exceeded its budget, and cleared its buffer, which holds complete commands while 64 are unanswered. The timeout of an incomplete command had the same fault where the rest lay unread in the socket, or was read under blocked writing and not yet processed.

Change: InputLimiter rejects incomplete commands of clients that have stopped sending, the one silent for the longest time first; if complete commands alone exceed the limit, reading is suspended on all connections until replies make room; incomplete commands whose rest has arrived are read to their ends one connection after the other. The timeout applies only to a buffer that holds one incomplete command and nothing else, and reads an unread rest first, within 0.5 s.

--- a/ingress/downstream/connection.py
+++ b/ingress/downstream/connection.py
@@ -30,12 +30,13 @@
         self.sock = sock
         self.pending_replies: deque[PendingReply] = deque()  # in the order of their commands
         self.transport: asyncio.Transport | None = None
-        self.buffer = CommandBuffer(owner.input_budget)
+        self.buffer = CommandBuffer(owner.input_limiter.budget)
         self.last_received_at = owner.clock()  # when the latest input arrived
         # When the connection was established or its last pending reply was written.
         self.idle_since = self.last_received_at
         # When the incomplete command in the buffer began to arrive.
         self.partial_command_since: float | None = None
+        self.has_unexamined_input = False  # input has arrived since the buffer was last processed
         self.write_blocked_since: float | None = None  # when the write buffer became full
         self.command_executor = CommandExecutor(owner)
         self.discarded_bytes = 0
@@ -50,6 +51,9 @@
         self.transport = cast(asyncio.Transport, transport)  # uvloop has its own transport class
         self.idle_since = self.owner.clock()
         self.owner.mark_new(self)
+        if not self.owner.input_limiter.may_read(self):
+            # Deferred, because the transport starts to read only after this callback.
+            self.owner.loop.call_soon(self.update_reading)
 
     def data_received(self, data: bytes) -> None:
         """Buffer received input and execute the commands that it completes."""
@@ -59,17 +63,17 @@
         self.last_received_at = self.owner.clock()
         self.buffer.append(data)
         if self._is_back_pressured():
-            self._update_reading()
+            self.has_unexamined_input = True
+            self.update_reading()
         else:
             self._process_buffer()
-        if self.buffer and self.owner.input_budget.is_exceeded() and not self.is_closing:
-            # This bounds the total memory of large partial commands on many connections.
-            self._close_with_error("too much is on the way")
+        if self.owner.input_limiter.must_act():
+            self.owner.input_limiter.enforce()
 
     def pause_writing(self) -> None:
         """Take no further commands while the write buffer is full because the client reads too slowly."""
         self.write_blocked_since = self.owner.clock()
-        self._update_reading()
+        self.update_reading()
 
     def resume_writing(self) -> None:
         """Take commands again, now that the write buffer has room."""
@@ -128,14 +132,54 @@
         elif self.write_blocked_since is not None:
             if now - self.write_blocked_since > timeouts.READ_TIMEOUT_S:
                 self.transport.abort()
-        elif self.partial_command_since is not None:
-            if now - self.partial_command_since > timeouts.READ_TIMEOUT_S:
+        elif self.holds_only_partial_command():
+            if self._is_partial_command_overdue(now):
                 self._close_with_error("the rest of the command did not come")
         elif not self.pending_replies:
             timeout_s = timeouts.compute_idle_timeout_s(self.owner.is_new(self), self.owner.is_draining)
             if now - self.idle_since > timeout_s:
                 self.close_if_idle()
 
+    # Methods that the input limiter calls
+
+    def holds_only_partial_command(self) -> bool:
+        """Return whether the buffered input is one incomplete command and nothing else.
+
+        Closing then drops no complete command but those that are still unread.
+        """
+        return (
+            self.partial_command_since is not None
+            and not self.has_unexamined_input
+            and not self.is_closing
+            and self.transport is not None
+        )
+
+    def has_unread_input(self) -> bool:
+        """Return whether input has arrived that was not read yet."""
+        return has_unread_bytes(self.sock)
+
+    def reject_partial_command(self) -> None:
+        """Answer the incomplete command with an error, drop it, and close the connection."""
+        self._close_with_error("too much is on the way")
+
+    def update_reading(self) -> None:
+        """Pause or resume reading.
+
+        Under back-pressure, reading is paused once the input of all connections uses half of its budget.
+        Below half of the budget it continues, because a disconnect is detected fastest by reading.
+        """
+        if self.transport is None or self.transport.is_closing() or self.is_closing:
+            return
+        is_held_back = self._is_back_pressured() and self.owner.input_limiter.budget.is_half_used()
+        if is_held_back or not self.owner.input_limiter.may_read(self):
+            self.transport.pause_reading()
+            if self.disconnect_check_timer is None:
+                self.disconnect_check_timer = self.owner.loop.call_later(
+                    DISCONNECT_CHECK_INTERVAL_S, self._check_for_disconnect
+                )
+        else:
+            self.transport.resume_reading()
+
     # Commands
 
     def _process_buffer(self) -> None:
@@ -156,11 +200,12 @@
             self.buffer.clear()
         else:
             self.buffer.drop_taken_bytes()
+        self.has_unexamined_input = False
         if not has_partial_command:
             self.partial_command_since = None
         elif self.partial_command_since is None:
             self.partial_command_since = self.last_received_at
-        self._update_reading()
+        self.update_reading()
 
     def _can_take_command(self) -> bool:
         """Return whether a command may be taken now; update `is_pipeline_full`."""
@@ -183,6 +228,17 @@
         self.pending_replies.append(reply)
         return reply
 
+    def _is_partial_command_overdue(self, now: float) -> bool:
+        """Return whether the rest of the incomplete command has not come in time.
+
+        If the rest has arrived while the event loop was busy, it is read first, but a client that keeps
+        sending single bytes gains little time.
+        """
+        wait_s = now - (self.partial_command_since or now)
+        if wait_s <= timeouts.READ_TIMEOUT_S:
+            return False
+        return wait_s > timeouts.READ_TIMEOUT_S + timeouts.UNREAD_INPUT_GRACE_S or not self.has_unread_input()
+
     # Closing
 
     def _close_with_error(self, reason: str) -> None:
@@ -226,26 +282,10 @@
         """Return whether commands are held back because the pipeline or the write buffer is full."""
         return self.is_pipeline_full or self.write_blocked_since is not None
 
-    def _update_reading(self) -> None:
-        """Pause reading under back-pressure once the input of all connections uses half of its budget.
-
-        Below half of the budget, reading continues, because a disconnect is detected fastest by reading.
-        """
-        if self.transport is None or self.transport.is_closing() or self.is_closing:
-            return
-        if self._is_back_pressured() and self.owner.input_budget.is_half_used():
-            self.transport.pause_reading()
-            if self.disconnect_check_timer is None:
-                self.disconnect_check_timer = self.owner.loop.call_later(
-                    DISCONNECT_CHECK_INTERVAL_S, self._check_for_disconnect
-                )
-        else:
-            self.transport.resume_reading()
-
     def _check_for_disconnect(self) -> None:
         """Detect a disconnect, which the event loop does not report while reading is paused."""
         self.disconnect_check_timer = None
         if self.transport is not None and is_closed_by_peer(self.sock):
             self.transport.abort()
         else:
-            self._update_reading()
+            self.update_reading()
--- a/ingress/downstream/connection_owner.py
+++ b/ingress/downstream/connection_owner.py
@@ -6,8 +6,8 @@
 from typing import Protocol, TypeVar
 
 from ingress.downstream.commands import CommandParser
+from ingress.downstream.input_limiter import InputLimiter
 from ingress.downstream.request_handler import RequestHandler
-from ingress.network.buffer_budget import BufferBudget
 from ingress.network.clock import Clock
 
 Connection = TypeVar("Connection", contravariant=True)
@@ -20,7 +20,7 @@
     clock: Clock
     command_parser: CommandParser
     handler: RequestHandler
-    input_budget: BufferBudget  # for the unprocessed input of all connections
+    input_limiter: InputLimiter
     is_draining: bool
 
     def mark_new(self, connection: Connection) -> None:
--- a/ingress/downstream/listener.py
+++ b/ingress/downstream/listener.py
@@ -13,6 +13,7 @@
 from ingress.downstream.commands import CommandParser
 from ingress.downstream.connection import ClientConnection
 from ingress.downstream.idle_connections import IdleConnections
+from ingress.downstream.input_limiter import InputLimiter
 from ingress.downstream.request_handler import RequestHandler
 from ingress.interface import Settings
 from ingress.network.addresses import Address
@@ -55,6 +56,7 @@
         self.evicted: set[ClientConnection] = set()  # aborted, but their file descriptors are still open
         self.idle_connections = IdleConnections()
         self.input_budget = BufferBudget(max_buffered_bytes)  # for the unprocessed input of all connections
+        self.input_limiter = InputLimiter(self.input_budget, self.connections, self.loop)
         self.sweep_timer = self.loop.call_later(SWEEP_INTERVAL_S, self._sweep)
         self.accept_tasks: set[asyncio.Task[Any]] = set()
         self.is_draining = False
@@ -88,6 +90,7 @@
     def close(self) -> None:
         """Stop listening and close the idle connections; the others are closed when the process exits."""
         self.sweep_timer.cancel()
+        self.input_limiter.close()
         self._close_socket()
         for connection in list(self.connections):
             connection.close_if_idle()
--- a/ingress/downstream/timeouts.py
+++ b/ingress/downstream/timeouts.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 READ_TIMEOUT_S = 2.0  # for the first command, the rest of a partial command, and the client to read replies
+UNREAD_INPUT_GRACE_S = 0.5  # further time for a partial command if unread input lies in the socket
 IDLE_TIMEOUT_S = 5.0  # for the next command, once all commands have been answered
 LINGER_TIMEOUT_S = 1.0  # for the client to read the last error reply while its input is discarded
 DRAIN_FIRST_REQUEST_TIMEOUT_S = 0.2  # for the first command on a connection while the listener drains
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -21,7 +21,7 @@
 PAGES = [
     ROOT / "README.md",
     ROOT / "DEVELOPERS.md",
-    *(page for page in sorted((ROOT / "docs").glob("*.md")) if page.name != "CAPACITY.md"),
+    *(page for page in sorted((ROOT / "docs").rglob("*.md")) if page.name != "CAPACITY.md"),
 ]
 ARCHITECTURE = ROOT / "docs" / "architecture.md"
 CROSSINGS = ROOT / "docs" / "crossings.md"
