A late duplicate of a reply no longer passes for the reply to the next command

Cause: replies carry no ids, and BackendConnection took the first frame after a command for its reply. The only guard was the reuse delay of 10 ms and a look at unread bytes. The backend's kernel may hold the copy back until the reply is acknowledged, and the acknowledgement waits for the next command, so the copy comes because the command does, after any delay.

Change: ReplyMatcher remembers the latest replies of a connection. One that repeats them is held, and a PING is written behind the command: if its answer comes next, the held reply was the right one; if another reply comes first, it was a duplicate, which is dropped, and the connection is closed after the attempt. What arrives while the command is written only in part, on a connection that has carried replies, is no reply to it. The reuse delay stays as it is; correctness no longer rests on it.

--- a/ingress/upstream/connection.py
+++ b/ingress/upstream/connection.py
@@ -11,9 +11,17 @@
 
 from ingress.network.addresses import Address
 from ingress.network.buffer_budget import BufferBudget
-from ingress.network.frames import FrameError
+from ingress.network.frames import INCOMPLETE, FrameError
 from ingress.upstream.attempt import Attempt
-from ingress.upstream.replies import BackendReply, find_reply_end, parse_reply
+from ingress.upstream.replies import (
+    PING_COMMAND,
+    BackendReply,
+    find_ping_reply_end,
+    find_reply_end,
+    is_ping_error,
+    parse_reply,
+)
+from ingress.upstream.reply_matcher import ReplyMatcher
 
 
 class ConnectionEndpoint(Protocol):
@@ -32,6 +40,9 @@
     def on_reply(self, attempt: Attempt, reply: BackendReply) -> None:
         """Handle a valid reply to the attempt."""
 
+    def on_duplicate_reply(self, attempt: Attempt) -> None:
+        """Handle that a duplicate of an earlier reply arrived ahead of the reply to the attempt."""
+
     def on_malformed_reply(self, attempt: Attempt, error: FrameError) -> None:
         """Handle bytes that are not a valid reply; the connection has closed itself."""
 
@@ -66,6 +77,7 @@
         self.address = address  # address that was connected to; the endpoint's address may change later
         self.sock = sock
         self.parser = hiredis.Reader()
+        self.matcher = ReplyMatcher()
         self.transport: asyncio.Transport | None = None
         self.attempt: Attempt | None = None  # attempt that waits for its reply
         self.buffer = b""  # bytes of a reply that is not complete yet
@@ -84,41 +96,40 @@
         self.transport.set_write_buffer_limits(high=0)
 
     def pause_writing(self) -> None:
-        """Record that part of the command is still in the transport's buffer."""
-        self.has_unsent_bytes = True
+        """Record that part of the command is still in the transport's buffer.
+
+        A PING is only written behind a complete command, so its bytes do not count.
+        """
+        self.has_unsent_bytes = self.matcher.held_reply is None
 
     def resume_writing(self) -> None:
         """Record that the complete command was handed to the operating system."""
         self.has_unsent_bytes = False
 
     def data_received(self, data: bytes) -> None:
-        """Add bytes to the reply; once the reply is complete, report it and become idle."""
+        """Add bytes to the reply; once it is complete and known to be the attempt's, report it."""
         attempt = self.attempt
         if attempt is None:
             # No attempt waits for a reply, so these bytes could be taken for the reply to the next attempt.
             self.close()
             return
-        self.buffer = received = self.buffer + data if self.buffer else data
+        if self.has_unsent_bytes and self.matcher.has_history:
+            # Backends reply to complete commands only, so these bytes belong to an earlier command.
+            self.close()
+            self.owner.on_connection_broken(self, attempt)
+            return
+        self.buffer = self.buffer + data if self.buffer else data
         self.owner.reply_buffer.used_bytes += len(data)
         try:
-            end = find_reply_end(received)
-            if end < 0:
-                self._check_buffer_budget()
-                return
-            reply = parse_reply(received[:end], self.parser)
+            reply = self._take_reply()
         except FrameError as error:
             # The backend may have executed the request, and nothing that follows on this connection can be
             # interpreted.
             self.close()
             self.owner.on_malformed_reply(attempt, error)
             return
-        self.attempt = None
-        self._clear_buffer()
-        if end < len(received):
-            self.close()  # bytes after the reply could be taken for the next reply
-        else:
-            self.owner.release_connection(self)
-        self.owner.on_reply(attempt, reply)
+        if reply is not None:
+            self._finish_attempt(attempt, reply)
 
     def eof_received(self) -> None:
         """Treat the connection as lost, since the backend has closed its side."""
@@ -128,7 +139,7 @@
         """Close the connection, and report the attempt that was waiting for its reply."""
         attempt = self.attempt
         self.attempt = None
-        if attempt is not None and not self.buffer:
+        if attempt is not None and not self.buffer and self.matcher.held_reply is None:
             self.owner.on_idle_connection_broken(self.idle_before_attempt_s)
         self.close()
         if attempt is not None:
@@ -169,11 +180,62 @@
             self.transport.abort()
         self.owner.on_connection_closed(self)
 
+    # Replies
+
+    def _take_reply(self) -> BackendReply | None:
+        """Take frames from the buffer until one is the reply to the attempt; None if more has to arrive.
+
+        Raise FrameError if the bytes are malformed.
+        """
+        while True:
+            is_held = self.matcher.held_reply is not None
+            end = find_ping_reply_end(self.buffer) if is_held else 0
+            if end > 0:
+                self._drop_from_buffer(end)
+                return self.matcher.confirm_held_reply()
+            if end != INCOMPLETE:
+                end = find_reply_end(self.buffer)
+            if end == INCOMPLETE:
+                self._check_buffer_budget()
+                return None
+            frame = self._drop_from_buffer(end)
+            if is_held and is_ping_error(frame):
+                return self.matcher.confirm_held_reply()
+            reply = self.matcher.match(parse_reply(frame, self.parser))
+            if reply is not None:
+                return reply
+            if not is_held:
+                self._send_ping()
+
+    def _send_ping(self) -> None:
+        assert self.transport is not None
+        self.transport.write(PING_COMMAND)
+
+    def _finish_attempt(self, attempt: Attempt, reply: BackendReply) -> None:
+        """Report the reply, and become idle unless more bytes than the reply came or are to come."""
+        self.attempt = None
+        self.matcher.remember(reply)
+        has_duplicate = self.matcher.duplicate_count > 0
+        if has_duplicate or self.buffer:
+            self.close()  # what follows could be taken for the next reply
+        else:
+            self.owner.release_connection(self)
+        if has_duplicate:
+            self.owner.on_duplicate_reply(attempt)
+        self.owner.on_reply(attempt, reply)
+
     def _check_buffer_budget(self) -> None:
         if self.owner.reply_buffer.is_exceeded():
             # Large values that arrive on many connections at the same time must not use up all memory.
             raise FrameError("incomplete replies exceed the memory limit for them")
 
+    def _drop_from_buffer(self, size: int) -> bytes:
+        """Remove the first `size` bytes from the buffer and return them."""
+        dropped = self.buffer[:size]
+        self.buffer = self.buffer[size:]
+        self.owner.reply_buffer.used_bytes -= size
+        return dropped
+
     def _clear_buffer(self) -> None:
         self.owner.reply_buffer.used_bytes -= len(self.buffer)
         self.buffer = b""
--- a/ingress/upstream/idle.py
+++ b/ingress/upstream/idle.py
@@ -9,7 +9,9 @@
 # Share of a backend's idle timeout after which the pool closes a connection, before the backend does.
 IDLE_TIMEOUT_SHARE = 0.6
 MIN_IDLE_TIMEOUT_S = 0.1  # lower bound of the shortened timeout; most connections are reused sooner
-REUSE_DELAY_S = 0.010  # time between a reply and the next attempt; duplicate replies arrived up to 4 ms late
+# Time between a reply and the next attempt, in which most duplicates of the reply arrive.  `ReplyMatcher`
+# recognizes those that come later.
+REUSE_DELAY_S = 0.010
 
 
 class IdleConnections:
@@ -24,9 +26,9 @@
     def take_connection(self, endpoint: UpstreamEndpoint, now: float) -> BackendConnection | None:
         """Remove the most recently used connection that may be reused, and return it; None if there is none.
 
-        Bytes that a backend sends after its reply, such as a duplicate of it, may arrive in a later read and
-        would be taken for the next reply.  A connection is therefore reused only after the reuse delay, and
-        closed if it has unread bytes.
+        Bytes that a backend sends after its reply, such as a duplicate of it, may arrive in a later read.  A
+        connection is therefore reused only after the reuse delay, and closed if it has unread bytes.  What
+        arrives after the next command was written is left to `ReplyMatcher`.
         """
         for connection in reversed(endpoint.idle_connections[:]):
             if connection.idle_since > now - self.reuse_delay_s:
--- a/ingress/upstream/pool.py
+++ b/ingress/upstream/pool.py
@@ -224,6 +224,10 @@
         """End the attempt with the outcome of its reply."""
         self._finish_attempt(attempt, reply.outcome, reply)
 
+    def on_duplicate_reply(self, attempt: Attempt) -> None:
+        """Log that a duplicate of an earlier reply was dropped."""
+        self.fault_log.warning("upstream duplicate reply dropped backend=%s", attempt.backend_id)
+
     def on_malformed_reply(self, attempt: Attempt, error: FrameError) -> None:
         """End the attempt as ERROR, since it may have been executed; the malformed reply is not passed on."""
         self.fault_log.warning("upstream reply malformed backend=%s reason=%s", attempt.backend_id, error)
--- a/ingress/upstream/replies.py
+++ b/ingress/upstream/replies.py
@@ -1,7 +1,8 @@
 """Replies of backends: find the end of a reply, interpret it, and read the load report in it, if any.
 
 A reply is either an array of three items (a value, figures that are not used here, and a load report) or one
-error line: `-BUSY [load report]` or `-ERR failed [load report]`.
+error line: `-BUSY [load report]` or `-ERR failed [load report]`.  The reply to a PING is `+PONG` or any other
+error line.
 """
 
 from __future__ import annotations
@@ -20,6 +21,8 @@
 MAX_ERROR_LINE_BYTES = 1024
 MAX_LOGGED_BYTES = 80  # longest part of a malformed reply that is logged
 REPLY_ITEM_COUNT = 3
+PING_COMMAND = b"*1\r\n$4\r\nPING\r\n"
+PONG_REPLY = b"+PONG\r\n"
 KNOWN_LOAD_NAMES = frozenset(LOAD_REPORT_FIELDS.values())
 
 
@@ -51,6 +54,21 @@
     return INCOMPLETE
 
 
+def find_ping_reply_end(data: bytes) -> int:
+    """Return the index after a `+PONG` at the start of `data`, or 0 if `data` starts otherwise.
+
+    Return INCOMPLETE if the end of the `+PONG` has not arrived.
+    """
+    if data.startswith(PONG_REPLY):
+        return len(PONG_REPLY)
+    return INCOMPLETE if data and PONG_REPLY.startswith(data) else 0
+
+
+def is_ping_error(frame: bytes) -> bool:
+    """Return whether a complete frame is an error line that only a PING can have caused."""
+    return frame[:1] == b"-" and _parse_error_line(frame) is None
+
+
 def parse_reply(frame: bytes, parser: hiredis.Reader) -> BackendReply:
     """Interpret one complete reply with the parser of its connection.
 
@@ -58,12 +76,20 @@
     """
     if frame[:1] == b"*":
         return _parse_value_reply(frame, parser)
+    reply = _parse_error_line(frame)
+    if reply is None:
+        raise MalformedReplyError(f"{frame[:MAX_LOGGED_BYTES]!r}")
+    return reply
+
+
+def _parse_error_line(frame: bytes) -> BackendReply | None:
+    """Return the reply in a complete error line, or None if the line is not a valid reply to a request."""
     kind, _, rest = frame[1:-2].partition(b" ")
     if kind == b"BUSY":
         return BackendReply(Outcome.REJECTED, None, read_load_report(rest))
     if kind == b"ERR" and rest.partition(b" ")[0] == b"failed":
         return BackendReply(Outcome.ERROR, None, read_load_report(rest.rpartition(b" ")[2]))
-    raise MalformedReplyError(f"{frame[:MAX_LOGGED_BYTES]!r}")
+    return None
 
 
 def _parse_value_reply(frame: bytes, parser: hiredis.Reader) -> BackendReply:
--- a/tests/support/peers.py
+++ b/tests/support/peers.py
@@ -106,6 +106,13 @@
     return arguments
 
 
+async def read_request(reader: Reader, writer: Writer) -> list[bytes]:
+    """Read the next request as a backend does, and answer each PING before it."""
+    while (arguments := await read_command(reader)) == [b"PING"]:
+        writer.write(b"+PONG\r\n")
+    return arguments
+
+
 def encode_value_reply(text: bytes) -> bytes:
     """Return the reply of a backend that holds this value; the two other items of the reply are null."""
     return b"*3\r\n$%d\r\n%b\r\n$-1\r\n$-1\r\n" % (len(text), text)
@@ -116,7 +123,7 @@
 
     async def serve_connection(_: int, reader: Reader, writer: Writer) -> None:
         while True:
-            arguments = await read_command(reader)
+            arguments = await read_request(reader, writer)
             server.received_commands.append(arguments)
             writer.write(encode_value_reply(arguments[2]) if reply is None else reply)
 
--- a/tests/upstream/test_idle.py
+++ b/tests/upstream/test_idle.py
@@ -14,7 +14,7 @@
     Writer,
     encode_value_reply,
     make_scripted_backend,
-    read_command,
+    read_request,
     run_async_test,
     wait_until,
 )
@@ -42,7 +42,7 @@
 def test_connection_closed_by_the_backend_is_not_reused() -> None:
     async def script(connection_index: int, reader: Reader, writer: Writer) -> None:
         while True:
-            await read_command(reader)
+            await read_request(reader, writer)
             writer.write(encode_value_reply(b"%d" % connection_index))
             if connection_index == 0:
                 return
@@ -89,7 +89,7 @@
 
     async def script(connection_index: int, reader: Reader, writer: Writer) -> None:
         for command_index in range(4):
-            await read_command(reader)
+            await read_request(reader, writer)
             if connection_index == 0 and command_index == 1:
                 return
             writer.write(encode_value_reply(b"%d" % connection_index))
