Requests read behind repeated malformed commands are answered before the connection closes

What callers saw: a client that sent eight or more malformed commands and then valid requests in one write got the errors and a close; the requests, which had been read, were never answered.

Cause: ClientConnection set is_closing at the limit of malformed commands, and _process_buffer then cleared the buffer.

Change: at the limit the connection takes no further input; of what was read, the commands up to the last valid request are still executed, under the usual limit of pipelined commands, and the connection closes after the last reply. Without a valid request among them it closes at once, as before.

--- a/ingress/downstream/command_buffer.py
+++ b/ingress/downstream/command_buffer.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import cast
 
 import hiredis
 
 from ingress.network.buffer_budget import BufferBudget
-from ingress.network.frames import find_array_end
+from ingress.network.frames import FrameError, find_array_end
 
 MAX_ARGUMENT_BYTES = 64 * 1024
 MAX_COMMAND_BYTES = 256 * 1024
@@ -57,6 +58,22 @@
         self._taken_bytes = end
         return cast(list[bytes], arguments)
 
+    def keep_through_last(self, is_wanted: Callable[[list[bytes]], bool]) -> None:
+        """Remove all bytes behind the last untaken command for whose arguments `is_wanted` returns true.
+
+        Without such a command, no untaken byte is left.  No command counts as taken by this.
+        """
+        start = end = self._taken_bytes
+        try:
+            while (arguments := self.take_command()) is not None:
+                if is_wanted(arguments):
+                    end = self._taken_bytes
+        except (FrameError, hiredis.HiredisError):
+            pass  # the bytes after a malformed command cannot be interpreted
+        self._taken_bytes = start
+        self._budget.used_bytes -= len(self._data) - end
+        del self._data[end:]
+
     def drop_taken_bytes(self) -> None:
         """Remove the bytes of the taken commands; a bytearray does this without copying the rest."""
         self._drop(self._taken_bytes)
--- a/ingress/downstream/command_executor.py
+++ b/ingress/downstream/command_executor.py
@@ -10,7 +10,8 @@
 
 log = logging.getLogger(__name__)
 
-MAX_MALFORMED_COMMANDS = 8  # malformed commands without a valid request in between that close a connection
+# Malformed commands without a valid request in between after which a connection takes no further input.
+MAX_MALFORMED_COMMANDS = 8
 REQUEST_VERBS = (b"API.READ", b"API.WRITE")
 INTERNAL_ERROR_REPLY = b"-ERR internal error\r\n"
 
@@ -39,6 +40,17 @@
         """Return whether the connection must be closed, so that its client takes no time from the others."""
         return self._malformed_count >= MAX_MALFORMED_COMMANDS
 
+    def is_valid_request(self, arguments: list[bytes]) -> bool:
+        """Return whether the arguments are those of a valid request; execute and count nothing."""
+        verb = arguments[0].upper() if arguments else b""
+        if verb not in REQUEST_VERBS:
+            return False
+        try:
+            self._owner.command_parser.parse(verb, arguments)
+        except CommandError:
+            return False
+        return True
+
     def execute(self, reply: PendingReply, arguments: list[bytes], received_at: float) -> bytes | None:
         """Execute a command, and answer `reply` now or later; return an error reply if the command fails.
 
--- a/ingress/downstream/connection.py
+++ b/ingress/downstream/connection.py
@@ -13,12 +13,12 @@
 from ingress.downstream.command_buffer import CommandBuffer
 from ingress.downstream.command_executor import CommandExecutor
 from ingress.downstream.connection_owner import ConnectionOwner
+from ingress.downstream.read_pause import ReadPause
 from ingress.downstream.request_handler import PendingReply
 from ingress.network.frames import FrameError
-from ingress.network.sockets import has_unread_bytes, is_closed_by_peer
+from ingress.network.sockets import has_unread_bytes
 
 MAX_PIPELINED = 64  # unanswered commands of a connection; at this number, no further commands are taken
-DISCONNECT_CHECK_INTERVAL_S = 0.05  # between checks for a disconnect while reading is paused
 MAX_DISCARDED_BYTES = 1024 * 1024  # input that a closing connection discards before it stops reading
 
 
@@ -41,8 +41,9 @@
         self.command_executor = CommandExecutor(owner)
         self.discarded_bytes = 0
         self.is_pipeline_full = False
+        self.is_input_ended = False  # further input is discarded; the buffered commands are still taken
         self.is_closing = False  # takes no more commands and closes after all pending replies are written
-        self.disconnect_check_timer: asyncio.TimerHandle | None = None  # set while reading is paused
+        self.read_pause = ReadPause(owner.loop, sock, self.update_reading)
 
     # Callbacks of the transport
 
@@ -57,7 +58,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Buffer received input and execute the commands that it completes."""
-        if self.is_closing:
+        if self.is_closing or self.is_input_ended:
             self._discard_input(len(data))
             return
         self.last_received_at = self.owner.clock()
@@ -168,15 +169,11 @@
         Under back-pressure, reading is paused once the input of all connections uses half of its budget.
         Below half of the budget it continues, because a disconnect is detected fastest by reading.
         """
-        if self.transport is None or self.transport.is_closing() or self.is_closing:
+        if self.transport is None or self.transport.is_closing() or self.is_closing or self.is_input_ended:
             return
         is_held_back = self._is_back_pressured() and self.owner.input_limiter.budget.is_half_used()
         if is_held_back or not self.owner.input_limiter.may_read(self):
-            self.transport.pause_reading()
-            if self.disconnect_check_timer is None:
-                self.disconnect_check_timer = self.owner.loop.call_later(
-                    DISCONNECT_CHECK_INTERVAL_S, self._check_for_disconnect
-                )
+            self.read_pause.pause(self.transport)
         else:
             self.transport.resume_reading()
 
@@ -216,9 +213,12 @@
 
     def _handle_command(self, arguments: list[bytes]) -> None:
         reply = self._add_pending_reply()
+        self._close_after_last_command()  # before the command is executed, as its reply may be sent at once
         error_reply = self.command_executor.execute(reply, arguments, self.last_received_at)
         if error_reply is not None:
-            self.is_closing = self.is_closing or self.command_executor.is_malformed_limit_reached()
+            if self.command_executor.is_malformed_limit_reached():
+                self._end_input()
+                self._close_after_last_command()
             reply.answer(error_reply)
 
     def _add_pending_reply(self) -> PendingReply:
@@ -241,6 +241,16 @@
 
     # Closing
 
+    def _end_input(self) -> None:
+        """Take no further input, and of the buffered commands those up to the last valid request."""
+        if not self.is_input_ended:
+            self.is_input_ended = True
+            self.buffer.keep_through_last(self.command_executor.is_valid_request)
+
+    def _close_after_last_command(self) -> None:
+        if self.is_input_ended and not self.buffer.has_untaken_bytes():
+            self.is_closing = True
+
     def _close_with_error(self, reason: str) -> None:
         """Send an error after the pending replies and close, since further input cannot be parsed."""
         self.owner.log_malformed_command(reason)
@@ -281,11 +291,3 @@
     def _is_back_pressured(self) -> bool:
         """Return whether commands are held back because the pipeline or the write buffer is full."""
         return self.is_pipeline_full or self.write_blocked_since is not None
-
-    def _check_for_disconnect(self) -> None:
-        """Detect a disconnect, which the event loop does not report while reading is paused."""
-        self.disconnect_check_timer = None
-        if self.transport is not None and is_closed_by_peer(self.sock):
-            self.transport.abort()
-        else:
-            self.update_reading()
--- a/tests/downstream/test_back_pressure.py
+++ b/tests/downstream/test_back_pressure.py
@@ -127,7 +127,7 @@
             caller.writer.write(pipelined_commands(4 + 20))
             await wait_until(lambda: ingress.listener.input_budget.used_bytes > 1500)
             [client_connection] = ingress.listener.connections
-            await wait_until(lambda: client_connection.disconnect_check_timer is not None)
+            await wait_until(lambda: client_connection.read_pause.is_checking)
             # This command stays unread in the socket, before the end of the connection.
             caller.writer.write(make_command("behind", wait_ms=4000))
             if with_reset:
--- a/tests/downstream/test_connection.py
+++ b/tests/downstream/test_connection.py
@@ -21,6 +21,7 @@
     make_command,
     make_config,
     make_endpoint_entry,
+    make_scripted_backend,
     read_command,
     run_async_test,
     wait_until,
@@ -120,6 +121,37 @@
     run_async_test(body())
 
 
+@pytest.mark.parametrize(
+    "tail",
+    [b"", encode_resp_array(b"NO") * 20, make_command("half")[:30]],
+    ids=["nothing", "malformed commands", "half a command"],
+)
+def test_requests_received_together_with_repeated_malformed_commands_are_served(
+    tail: bytes, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against dropping requests that were read when the connection is closed for other commands."""
+    monkeypatch.setattr(connection, "MAX_PIPELINED", 4)
+    malformed_count = command_executor.MAX_MALFORMED_COMMANDS + 2
+
+    async def body() -> None:
+        async with (
+            make_scripted_backend() as peer,
+            running_ingress(make_config(make_endpoint_entry(peer.address))) as (ingress, address),
+        ):
+            install_scripted_gateway(ingress, send_to_s1)
+            caller = await RespClient.connect(address)
+            requests = b"".join(make_command(str(n)) for n in range(10))
+            caller.writer.write(encode_resp_array(b"NO") * malformed_count + requests + tail)
+            for _ in range(malformed_count):
+                assert isinstance(await caller.read_reply(), hiredis.ReplyError)
+            assert [await caller.read_reply() for _ in range(10)] == [b"%d" % n for n in range(10)]
+            with pytest.raises(EOFError):
+                await caller.read_reply()
+            assert not ingress.listener.input_budget.used_bytes
+
+    run_async_test(body())
+
+
 def test_last_error_reply_is_delivered_while_more_input_arrives(monkeypatch: pytest.MonkeyPatch) -> None:
     """Check that the client reads the error even though it still sends 60 MB that are never parsed.
 
