Fingerprints of replies cover both ends of a value

Cause: values that share a long beginning, such as documents with one header, would have counted as repeated and cost a PING each, although they differ at the end. Change: a fingerprint takes 256 bytes from each end of a value in place of 512 from its start.

--- a/ingress/upstream/reply_matcher.py
+++ b/ingress/upstream/reply_matcher.py
@@ -14,7 +14,7 @@
 from ingress.upstream.replies import BackendReply
 
 MAX_REMEMBERED_REPLIES = 16  # per connection
-FINGERPRINT_BYTES = 512  # at the start of a value; replies that differ only behind them count as repeated
+FINGERPRINT_BYTES = 256  # at each end of a value; replies that differ only between count as repeated
 
 
 class ReplyMatcher:
@@ -62,4 +62,4 @@
     value = reply.value
     if value is None:
         return hash(reply.outcome)
-    return hash((reply.outcome, len(value), value[:FINGERPRINT_BYTES]))
+    return hash((reply.outcome, len(value), value[:FINGERPRINT_BYTES], value[-FINGERPRINT_BYTES:]))
--- a/tests/upstream/test_reply_matcher.py
+++ b/tests/upstream/test_reply_matcher.py
@@ -196,3 +196,11 @@
     matcher = ReplyMatcher()
     matcher.remember(BackendReply(Outcome.OK, b"a", {"active": 1.0}))
     assert matcher.match(BackendReply(Outcome.OK, b"a", {"active": 2.0})) is None
+
+
+def test_values_that_differ_at_one_end_are_not_repeated_ones() -> None:
+    matcher = ReplyMatcher()
+    matcher.remember(BackendReply(Outcome.OK, b"a" + b"x" * 1000 + b"a", {}))
+    for value in (b"a" + b"x" * 1000 + b"b", b"b" + b"x" * 1000 + b"a", b"a" + b"x" * 999 + b"a"):
+        reply = BackendReply(Outcome.OK, value, {})
+        assert matcher.match(reply) is reply
