--- a/tests/upstream/test_connection.py
+++ b/tests/upstream/test_connection.py
@@ -1,11 +1,9 @@
-"""Tests of a connection to a backend: replies, malformed replies, and partly written commands."""
+"""Tests of a connection to a backend: replies, their ends, and bytes that belong to no reply."""
 
 from __future__ import annotations
 
 import asyncio
-import logging
 import socket
-import struct
 from collections.abc import Callable
 from functools import partial
 from typing import Any
@@ -23,12 +21,10 @@
     make_scripted_backend,
     read_command,
     run_async_test,
-    wait_until,
 )
 from tests.support.pool import COMMAND_PARTS, PoolUnderTest
 
 BINARY_VALUE = bytes(range(256)) * 256
-LARGE_ARGUMENT = b"\r\n$8000000\r\n" + b"x" * 8_000_000 + b"\r\n"
 
 
 @pytest.mark.parametrize(
@@ -222,128 +218,3 @@
 
     monkeypatch.setattr(BackendConnection, "data_received", receive_and_record_extra_bytes)
     run_async_test(body())
-
-
-@pytest.mark.parametrize(
-    "malformed",
-    [
-        b"*1000000000\r\n",
-        b"*3\r\n$3000000000\r\nxx",
-        b"*3\r\n$1048577\r\n",
-        b"x" * 100,
-        b"*2\r\n$1\r\nx\r\n$-1\r\n",
-        b"*3\r\n$-1\r\n$-1\r\n$-1\r\n",
-        b"*3\r\n$2\r\nvalue\r\n",
-        b"-SYNTAX\r\n",
-        b"-ERR what\r\n",
-        b"-" + b"x" * 2000,
-        b"*3\r\n*3\r\n",
-        b"+OK\r\n",
-        b"$5\r\nhello\r\n",
-        b"-\xff\xfe\r\n",
-        b"*3\r\n$1\r\nx\r\n$-2\r\n",
-        b"*x\r\n",
-    ],
-)
-def test_malformed_reply_is_an_error_and_closes_the_connection(malformed: bytes) -> None:
-    """The backend may have executed the attempt, so the outcome must not say that it has not."""
-
-    async def body() -> None:
-        async with make_scripted_backend(malformed) as peer:
-            pool = PoolUnderTest(peer.address)
-            pool.start_attempt()
-            assert await pool.wait_for_result() == (Outcome.ERROR, None)
-            assert pool.pool.connection_count == 0
-            assert pool.pool.reply_buffer.used_bytes == 0
-            await wait_until(lambda: peer.ended_connection_count)
-
-    run_async_test(body())
-
-
-def test_malformed_replies_are_logged(caplog: pytest.LogCaptureFixture) -> None:
-    async def body() -> None:
-        async with make_scripted_backend(b"-SYNTAX\r\n") as peer:
-            pool = PoolUnderTest(peer.address)
-            pool.start_attempt()
-            await pool.wait_for_result()
-
-    with caplog.at_level(logging.WARNING):
-        run_async_test(body())
-    [record] = caplog.records
-    assert record.getMessage() == "upstream reply malformed backend=s0 reason=b'-SYNTAX\\r\\n' count=1"
-
-
-def test_incomplete_replies_are_limited_over_all_connections_together() -> None:
-    async def body() -> None:
-        async with make_scripted_backend(b"*3\r\n$900000\r\n" + b"x" * 800_000) as peer:
-            pool = PoolUnderTest(peer.address)
-            pool.pool.reply_buffer.max_bytes = 1_000_000
-            first = pool.start_attempt()
-            await wait_until(lambda: pool.pool.reply_buffer.used_bytes > 800_000)
-            pool.start_attempt()
-            assert await pool.wait_for_result() == (Outcome.ERROR, None)
-            assert pool.results[0].attempt_number == 1
-            assert 800_000 < pool.pool.reply_buffer.used_bytes < 1_000_000
-            pool.pool.cancel_attempt(first)
-            assert pool.pool.reply_buffer.used_bytes == 0
-
-    run_async_test(body())
-
-
-@pytest.mark.parametrize("end_cause", ["reset", "time is up", "client left"])
-def test_partly_written_attempt_counts_as_not_executed(end_cause: str) -> None:
-    """The connection accepts only part of a large command before the attempt ends in one of three ways."""
-
-    async def body() -> None:
-        loop = asyncio.get_running_loop()
-        with socket.create_server(("127.0.0.1", 0)) as server:
-            server.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
-            server.setblocking(False)
-            pool = PoolUnderTest(server.getsockname())
-            attempt = pool.start_attempt(
-                timeout_s=0.5 if end_cause == "time is up" else 5.0,
-                command_parts=(*COMMAND_PARTS[:2], LARGE_ARGUMENT),
-            )
-            peer, _ = await loop.sock_accept(server)
-            await wait_until(lambda: attempt.connection is not None)
-            assert not attempt.is_fully_written()
-            if end_cause == "reset":
-                peer.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-                peer.close()
-            elif end_cause == "client left":
-                pool.pool.cancel_attempt_if_unsent(attempt)
-            outcome = Outcome.SUPERSEDED if end_cause == "client left" else Outcome.CONNECT_FAILED
-            assert await pool.wait_for_result() == (outcome, None)
-            peer.close()
-            await wait_until(lambda: pool.pool.connection_count == 0)
-
-    run_async_test(body())
-
-
-def test_fully_written_attempt_is_not_cancelled_when_its_client_leaves() -> None:
-    """The backend may execute the attempt, so the attempt stays in flight until its reply arrives."""
-
-    async def script(_: int, reader: Reader, writer: Writer) -> None:
-        assert len((await read_command(reader))[4]) == 8_000_000
-        command_read.set()
-        await reply_allowed.wait()
-        writer.write(encode_value_reply(b"done"))
-        await reader.read()
-
-    command_read = asyncio.Event()
-    reply_allowed = asyncio.Event()
-
-    async def body() -> None:
-        async with ScriptedServer(script) as peer:
-            pool = PoolUnderTest(peer.address)
-            attempt = pool.start_attempt(
-                command_parts=(COMMAND_PARTS[0].replace(b"*4", b"*5"), COMMAND_PARTS[1], LARGE_ARGUMENT)
-            )
-            await command_read.wait()
-            await wait_until(attempt.is_fully_written)
-            pool.pool.cancel_attempt_if_unsent(attempt)
-            assert not attempt.has_ended
-            reply_allowed.set()
-            assert await pool.wait_for_result() == (Outcome.OK, b"done")
-
-    run_async_test(body())
