Unread input: senders get 50 ms to go on, and memory stays within one command and one read

Change: a sender counts as stalled after 50 ms of silence. While reading is suspended, no connection is accepted, and the one connection that is read is the one that has waited for the longest time; none is read while the limit is exceeded by more than one command and complete commands wait. ClientInput holds the buffer and its times: input that is read after a suspension counts from when the socket was last known to be empty, so timeouts hold, and no request is given more time than its client has left.

--- a/ingress/downstream/connection.py
+++ b/ingress/downstream/connection.py
@@ -10,7 +10,7 @@
 import hiredis
 
 from ingress.downstream import timeouts
-from ingress.downstream.command_buffer import CommandBuffer
+from ingress.downstream.client_input import ClientInput
 from ingress.downstream.command_executor import CommandExecutor
 from ingress.downstream.connection_owner import ConnectionOwner
 from ingress.downstream.read_pause import ReadPause
@@ -30,13 +30,9 @@
         self.sock = sock
         self.pending_replies: deque[PendingReply] = deque()  # in the order of their commands
         self.transport: asyncio.Transport | None = None
-        self.buffer = CommandBuffer(owner.input_limiter.budget)
-        self.last_received_at = owner.clock()  # when the latest input arrived
         # When the connection was established or its last pending reply was written.
-        self.idle_since = self.last_received_at
-        # When the incomplete command in the buffer began to arrive.
-        self.partial_command_since: float | None = None
-        self.has_unexamined_input = False  # input has arrived since the buffer was last processed
+        self.idle_since = owner.clock()
+        self.input = ClientInput(owner.input_limiter.budget, self.idle_since)
         self.write_blocked_since: float | None = None  # when the write buffer became full
         self.command_executor = CommandExecutor(owner)
         self.discarded_bytes = 0
@@ -61,10 +57,8 @@
         if self.is_closing or self.is_input_ended:
             self._discard_input(len(data))
             return
-        self.last_received_at = self.owner.clock()
-        self.buffer.append(data)
+        self.input.append(data, self.owner.clock())
         if self._is_back_pressured():
-            self.has_unexamined_input = True
             self.update_reading()
         else:
             self._process_buffer()
@@ -112,7 +106,7 @@
         Closing a socket with unread input resets the connection, which may also destroy the reply before it.
         """
         return self.transport is None or not (
-            self.buffer or has_unread_bytes(self.sock) or self.transport.get_write_buffer_size()
+            self.input.buffer or has_unread_bytes(self.sock) or self.transport.get_write_buffer_size()
         )
 
     def close_if_idle(self) -> None:
@@ -127,6 +121,8 @@
         """
         if self.transport is None:
             return
+        if self.input.is_suspended and not self.has_unread_input():
+            self.input.record_empty_socket(now)
         if self.is_closing and not self.pending_replies:
             if now - self.idle_since > timeouts.LINGER_TIMEOUT_S:
                 self.transport.abort()
@@ -134,13 +130,17 @@
             if now - self.write_blocked_since > timeouts.READ_TIMEOUT_S:
                 self.transport.abort()
         elif self.holds_only_partial_command():
-            if self._is_partial_command_overdue(now):
-                self._close_with_error("the rest of the command did not come")
+            self._enforce_partial_command_timeout(now)
         elif not self.pending_replies:
             timeout_s = timeouts.compute_idle_timeout_s(self.owner.is_new(self), self.owner.is_draining)
             if now - self.idle_since > timeout_s:
                 self.close_if_idle()
 
+    def _enforce_partial_command_timeout(self, now: float) -> None:
+        """Reject an overdue incomplete command; if more of it lies unread, only after a grace time."""
+        if self.input.is_overdue(now) and (self.input.is_grace_over(now) or not self.has_unread_input()):
+            self._close_with_error("the rest of the command did not come")
+
     # Methods that the input limiter calls
 
     def holds_only_partial_command(self) -> bool:
@@ -148,12 +148,12 @@
 
         Closing then drops no complete command but those that are still unread.
         """
-        return (
-            self.partial_command_since is not None
-            and not self.has_unexamined_input
-            and not self.is_closing
-            and self.transport is not None
-        )
+        return self.takes_input() and self.input.holds_only_partial_command()
+
+    def takes_input(self) -> bool:
+        """Return whether input that is read now is processed at once."""
+        is_open = self.transport is not None and not self.is_closing and not self.is_input_ended
+        return is_open and not self._is_back_pressured()
 
     def has_unread_input(self) -> bool:
         """Return whether input has arrived that was not read yet."""
@@ -171,8 +171,13 @@
         """
         if self.transport is None or self.transport.is_closing() or self.is_closing or self.is_input_ended:
             return
-        is_held_back = self._is_back_pressured() and self.owner.input_limiter.budget.is_half_used()
-        if is_held_back or not self.owner.input_limiter.may_read(self):
+        if not self.owner.input_limiter.may_read(self):
+            self.input.suspend(self.owner.clock())
+            self.read_pause.pause(self.transport)
+            return
+        if self.input.is_suspended:
+            self.input.resume(self.has_unread_input())
+        if self._is_back_pressured() and self.owner.input_limiter.budget.is_half_used():
             self.read_pause.pause(self.transport)
         else:
             self.transport.resume_reading()
@@ -184,24 +189,20 @@
         has_partial_command = False
         while self._can_take_command():
             try:
-                arguments = self.buffer.take_command()
+                arguments = self.input.buffer.take_command()
             except (FrameError, hiredis.HiredisError) as error:
                 self._close_with_error(str(error))
                 break
             if arguments is None:
                 has_partial_command = True
                 break
-            self.partial_command_since = None
+            self.input.partial_command_since = None
             self._handle_command(arguments)
         if self.is_closing or self.transport is None:
-            self.buffer.clear()
+            self.input.buffer.clear()
         else:
-            self.buffer.drop_taken_bytes()
-        self.has_unexamined_input = False
-        if not has_partial_command:
-            self.partial_command_since = None
-        elif self.partial_command_since is None:
-            self.partial_command_since = self.last_received_at
+            self.input.buffer.drop_taken_bytes()
+        self.input.record_examined(has_partial_command)
         self.update_reading()
 
     def _can_take_command(self) -> bool:
@@ -209,12 +210,12 @@
         if self.transport is None or self.is_closing or self.write_blocked_since is not None:
             return False
         self.is_pipeline_full = len(self.pending_replies) >= MAX_PIPELINED
-        return not self.is_pipeline_full and self.buffer.has_untaken_bytes()
+        return not self.is_pipeline_full and self.input.buffer.has_untaken_bytes()
 
     def _handle_command(self, arguments: list[bytes]) -> None:
         reply = self._add_pending_reply()
         self._close_after_last_command()  # before the command is executed, as its reply may be sent at once
-        error_reply = self.command_executor.execute(reply, arguments, self.last_received_at)
+        error_reply = self.command_executor.execute(reply, arguments, self.input.arrived_at)
         if error_reply is not None:
             if self.command_executor.is_malformed_limit_reached():
                 self._end_input()
@@ -228,34 +229,23 @@
         self.pending_replies.append(reply)
         return reply
 
-    def _is_partial_command_overdue(self, now: float) -> bool:
-        """Return whether the rest of the incomplete command has not come in time.
-
-        If the rest has arrived while the event loop was busy, it is read first, but a client that keeps
-        sending single bytes gains little time.
-        """
-        wait_s = now - (self.partial_command_since or now)
-        if wait_s <= timeouts.READ_TIMEOUT_S:
-            return False
-        return wait_s > timeouts.READ_TIMEOUT_S + timeouts.UNREAD_INPUT_GRACE_S or not self.has_unread_input()
-
     # Closing
 
     def _end_input(self) -> None:
         """Take no further input, and of the buffered commands those up to the last valid request."""
         if not self.is_input_ended:
             self.is_input_ended = True
-            self.buffer.keep_through_last(self.command_executor.is_valid_request)
+            self.input.buffer.keep_through_last(self.command_executor.is_valid_request)
 
     def _close_after_last_command(self) -> None:
-        if self.is_input_ended and not self.buffer.has_untaken_bytes():
+        if self.is_input_ended and not self.input.buffer.has_untaken_bytes():
             self.is_closing = True
 
     def _close_with_error(self, reason: str) -> None:
         """Send an error after the pending replies and close, since further input cannot be parsed."""
         self.owner.log_malformed_command(reason)
         self.is_closing = True
-        self.buffer.clear()
+        self.input.buffer.clear()
         text = reason.encode("ascii", "replace").replace(b"\r", b" ").replace(b"\n", b" ")
         self._add_pending_reply().answer(b"-ERR %b\r\n" % text)
 
@@ -279,7 +269,7 @@
         self.transport = None
         pending_replies = self.pending_replies
         self.pending_replies = deque()
-        self.buffer.clear()
+        self.input.buffer.clear()
         self.owner.mark_busy(self)
         for reply in pending_replies:
             if reply.data is None:
--- a/ingress/downstream/input_limiter.py
+++ b/ingress/downstream/input_limiter.py
@@ -4,27 +4,33 @@
 
 import asyncio
 import logging
-from collections.abc import Collection, Iterator
+from collections.abc import Callable, Collection
 from typing import Protocol
 
+from ingress.downstream.client_input import ClientInput
+from ingress.downstream.command_buffer import MAX_COMMAND_BYTES
 from ingress.network.buffer_budget import BufferBudget
+from ingress.network.clock import Clock
 from ingress.network.rate_limited_log import RateLimitedLog
 
 log = logging.getLogger(__name__)
 
 MAX_LOGGED_SUSPENSIONS = 50  # suspensions that are logged one by one; of the later ones only a sample is
 CHECK_INTERVAL_S = 0.01  # between checks of the limit while reading is suspended
+STALLED_AFTER_S = 0.05  # silence after which the sender of an incomplete command counts as stalled
 
 
 class LimitedConnection(Protocol):
     """The part of a client connection that the limiter uses."""
 
-    last_received_at: float
-    partial_command_since: float | None
+    input: ClientInput
 
     def holds_only_partial_command(self) -> bool:
         """Return whether the buffered input is one incomplete command and nothing else."""
 
+    def takes_input(self) -> bool:
+        """Return whether input that is read now is processed at once."""
+
     def has_unread_input(self) -> bool:
         """Return whether input has arrived that was not read yet."""
 
@@ -39,9 +45,10 @@
     """Keeps the input of all connections within its budget without dropping a complete command.
 
     Above the limit, incomplete commands whose clients have stopped sending are rejected, those first whose
-    clients have been silent for the longest time.  If the rest still exceeds the limit, reading is suspended
-    on all connections: complete commands are then taken as replies make room for them, and the incomplete
-    commands whose rest has already arrived are read to their ends one after the other.
+    clients have been silent for the longest time.  While the rest exceeds the limit, reading is suspended:
+    replies make room for the complete commands, and one connection at a time is read, the one whose input has
+    waited for the longest time, so that the incomplete commands whose rest has already arrived come to their
+    ends.
     """
 
     def __init__(
@@ -49,12 +56,20 @@
         budget: BufferBudget,
         connections: Collection[LimitedConnection],
         loop: asyncio.AbstractEventLoop,
+        clock: Clock,
+        on_resumed: Callable[[], None],
     ) -> None:
-        """Create a limiter for `connections`, a collection that its owner keeps up to date."""
+        """Create a limiter for `connections`, a collection that its owner keeps up to date.
+
+        `clock` is the clock of their times; `on_resumed` is called when reading is no longer suspended.
+        While it is, no connection may be accepted, since a new transport reads once before it can be paused.
+        """
         self.budget = budget
         self.is_suspended = False
         self._connections = connections
         self._loop = loop
+        self._clock = clock
+        self._on_resumed = on_resumed
         self._reader: LimitedConnection | None = None  # the only connection that is read while suspended
         self._check_timer: asyncio.TimerHandle | None = None
         self._suspension_log = RateLimitedLog(log, MAX_LOGGED_SUSPENSIONS)
@@ -78,6 +93,8 @@
         if self.is_suspended or was_suspended:
             for connection in list(self._connections):
                 connection.update_reading()
+        if was_suspended and not self.is_suspended:
+            self._on_resumed()
         if self.is_suspended and self._check_timer is None:
             self._check_timer = self._loop.call_later(CHECK_INTERVAL_S, self._check)
 
@@ -94,20 +111,36 @@
         """Reject incomplete commands whose clients have stopped sending, until the limit is kept."""
         if not self.budget.is_exceeded():
             return
-        for connection in sorted(self._iter_partial(), key=lambda connection: connection.last_received_at):
+        last_received_before = self._clock() - STALLED_AFTER_S
+        for connection in sorted(self._find_partial(), key=_get_last_received_at):
+            if connection.input.last_received_at > last_received_before:
+                return
             if not connection.has_unread_input():
                 connection.reject_partial_command()
                 if not self.budget.is_exceeded():
                     return
 
     def _find_reader(self) -> LimitedConnection | None:
-        """Return the connection whose incomplete command is the oldest of those with unread input."""
-        candidates = [connection for connection in self._iter_partial() if connection.has_unread_input()]
-        return min(candidates, key=_get_start_of_partial_command, default=None)
+        """Return the connection whose unread input has waited for the longest time.
+
+        Return None while the limit is exceeded by more than one command and complete commands are waiting.
+        They are taken first, since what is read may hold further ones.
+        """
+        partial_bytes = sum(len(connection.input.buffer) for connection in self._find_partial())
+        has_complete_commands = self.budget.used_bytes > partial_bytes
+        if has_complete_commands and self.budget.used_bytes > self.budget.max_bytes + MAX_COMMAND_BYTES:
+            return None
+        candidates = [connection for connection in self._connections if connection.takes_input()]
+        candidates.sort(key=_get_wait_start)
+        return next((connection for connection in candidates if connection.has_unread_input()), None)
+
+    def _find_partial(self) -> list[LimitedConnection]:
+        return [connection for connection in self._connections if connection.holds_only_partial_command()]
+
 
-    def _iter_partial(self) -> Iterator[LimitedConnection]:
-        return (connection for connection in self._connections if connection.holds_only_partial_command())
+def _get_last_received_at(connection: LimitedConnection) -> float:
+    return connection.input.last_received_at
 
 
-def _get_start_of_partial_command(connection: LimitedConnection) -> float:
-    return connection.partial_command_since or 0.0
+def _get_wait_start(connection: LimitedConnection) -> float:
+    return connection.input.get_wait_start()
--- a/ingress/downstream/listener.py
+++ b/ingress/downstream/listener.py
@@ -56,7 +56,9 @@
         self.evicted: set[ClientConnection] = set()  # aborted, but their file descriptors are still open
         self.idle_connections = IdleConnections()
         self.input_budget = BufferBudget(max_buffered_bytes)  # for the unprocessed input of all connections
-        self.input_limiter = InputLimiter(self.input_budget, self.connections, self.loop)
+        self.input_limiter = InputLimiter(
+            self.input_budget, self.connections, self.loop, clock, self._resume_accepting
+        )
         self.sweep_timer = self.loop.call_later(SWEEP_INTERVAL_S, self._sweep)
         self.accept_tasks: set[asyncio.Task[Any]] = set()
         self.is_draining = False
@@ -138,6 +140,9 @@
     def _accept_batch(self) -> bool:
         """Accept a batch of connections; return whether more may be in the backlog."""
         for _ in range(MAX_ACCEPTS_PER_BATCH):
+            if self.input_limiter.is_suspended:
+                self._pause_accepting()
+                return False
             if len(self.connections) >= self.max_connections:
                 # New connections wait until an open one has closed, so that file descriptors do not run out.
                 if not self.evicted:
--- a/tests/support/ingress.py
+++ b/tests/support/ingress.py
@@ -11,7 +11,7 @@
 from ingress.downstream.connection import ClientConnection
 from ingress.process.configuration import Config
 from ingress.process.ingress import Ingress
-from tests.support.peers import Address, wait_until
+from tests.support.peers import Address, ScriptedServer, make_config, make_endpoint_entry, wait_until
 
 ActionChooser: TypeAlias = Callable[[Any], list[api.Action]]
 
@@ -31,6 +31,14 @@
         ingress.pool.close()
 
 
+@asynccontextmanager
+async def running_ingress_before(backend: ScriptedServer) -> AsyncIterator[tuple[Ingress, Any]]:
+    """Run an ingress that sends each request once, to `backend`; yield it and the address it listens on."""
+    async with running_ingress(make_config(make_endpoint_entry(backend.address))) as (ingress, address):
+        install_scripted_gateway(ingress, send_to_s1)
+        yield ingress, address
+
+
 @asynccontextmanager
 async def running_ingress_until_stopped(
     config: Config,
