--- a/tests/support/discovery.py
+++ b/tests/support/discovery.py
@@ -10,7 +10,7 @@
 from typing import Any
 
 from ingress.discovery.watch import EndpointWatch
-from tests.support.peers import Reader, ScriptedServer, Writer
+from tests.support.peers import Reader, ScriptedServer, Writer, make_endpoint_entry
 
 LOCAL_ADDRESS = ("127.0.0.1", 6379)
 REJECTION = b"503"
@@ -56,6 +56,12 @@
     return json.dumps({"version": version, "full": is_complete, "servers": entries}).encode()
 
 
+def encode_complete_list(count: int, **changes: Any) -> bytes:
+    """Return the body of a complete list of `count` entries, each with the changed fields `changes`."""
+    entries = [make_endpoint_entry(LOCAL_ADDRESS, f"s-{number:08x}") | changes for number in range(count)]
+    return encode_endpoint_list(41, True, *entries)
+
+
 def encode_http_response(body: bytes, status: bytes = b"200 OK", headers: bytes = b"") -> bytes:
     """Return a complete HTTP response; `headers` are additional lines that end with CRLF."""
     return b"HTTP/1.1 %b\r\nContent-Length: %d\r\n%b\r\n%b" % (status, len(body), headers, body)
