Capacity page: an exponent that is rounded to zero has no sign

Seen: test_committed_page_matches_saved_results fails on arm64 before any change: one row says n^-0.00 on x86-64 and n^0.00 on arm64. Cause: the fit of level costs gives an exponent of a rounding error's size, whose sign depends on the processor. The sum with 0.0 in describe_growth only met an exact -0.0, not an exponent that the format rounds to it.

--- a/scale/report/tables.py
+++ b/scale/report/tables.py
@@ -13,6 +13,7 @@
 from scale.report.targets import DIMENSION_TARGETS, Entry, dimension_of
 from scale.report.versions import SavedResult
 
+EXPONENT_DECIMALS = 2
 
 def markdown_table(head: Sequence[str], rows: Iterable[Sequence[str]]) -> str:
     """Return a Markdown table."""
@@ -78,7 +79,8 @@
         return "not measured"
     better_fit: Line | PowerLaw = growth.better_fit
     if isinstance(better_fit, PowerLaw):
-        return f"n^{better_fit.exponent + 0.0:.2f}, r² {better_fit.r2:.2f}"
+        exponent = round(better_fit.exponent, EXPONENT_DECIMALS) + 0.0  # the sum turns -0.0 into 0.0
+        return f"n^{exponent:.{EXPONENT_DECIMALS}f}, r² {better_fit.r2:.2f}"
     if not growth.is_varying:
         return "level"
     sign = "-" if better_fit.slope < 0 else "+"
