Log lines carry the time; the loop's lag and reasons of closes, refusals and retries are logged

The excerpts of the incident have no times, no id by which a client's record could be found in the log, and nothing tells that the event loop stood still or why a connection was closed or a request refused. Now: the time in UTC on each line; 'event loop late' with the load; 'request deadline enforced' and 'request refused' with the client's id; counts of closes, refusals, failures, retries and ends of attempts by reason, logged every 10 s in which something happened and at the end.

--- a/ingress/downstream/connection.py
+++ b/ingress/downstream/connection.py
@@ -11,6 +11,7 @@
 
 from ingress.downstream import timeouts
 from ingress.downstream.client_input import ClientInput
+from ingress.downstream.close_reason import CloseReason
 from ingress.downstream.command_executor import CommandExecutor
 from ingress.downstream.connection_owner import ConnectionOwner
 from ingress.downstream.read_pause import ReadPause
@@ -39,6 +40,7 @@
         self.is_pipeline_full = False
         self.is_input_ended = False  # further input is discarded; the buffered commands are still taken
         self.is_closing = False  # takes no more commands and closes after all pending replies are written
+        self.close_reason = CloseReason.CLIENT_LEFT  # the reason unless this side closes
         self.read_pause = ReadPause(owner.loop, sock, self.update_reading)
 
     # Callbacks of the transport
@@ -112,6 +114,7 @@
     def close_if_idle(self) -> None:
         """Close the connection unless a command or reply is pending; `enforce_timeouts` retries later."""
         if self.transport is not None and not self.pending_replies and self.has_empty_buffers():
+            self.close_reason = CloseReason.IDLE
             self.transport.close()
 
     def enforce_timeouts(self, now: float) -> None:
@@ -128,6 +131,7 @@
                 self.transport.abort()
         elif self.write_blocked_since is not None:
             if now - self.write_blocked_since > timeouts.READ_TIMEOUT_S:
+                self.close_reason = CloseReason.READ_TIMEOUT
                 self.transport.abort()
         elif self.holds_only_partial_command():
             self._enforce_partial_command_timeout(now)
@@ -139,7 +143,9 @@
     def _enforce_partial_command_timeout(self, now: float) -> None:
         """Reject an overdue incomplete command; if more of it lies unread, only after a grace time."""
         if self.input.is_overdue(now) and (self.input.is_grace_over(now) or not self.has_unread_input()):
-            self._close_with_error("the rest of the command did not come")
+            self._close_with_error(
+                "the rest of the command did not come", CloseReason.PARTIAL_COMMAND_TIMEOUT
+            )
 
     # Methods that the input limiter calls
 
@@ -161,7 +167,7 @@
 
     def reject_partial_command(self) -> None:
         """Answer the incomplete command with an error, drop it, and close the connection."""
-        self._close_with_error("too much is on the way")
+        self._close_with_error("too much is on the way", CloseReason.INPUT_LIMIT)
 
     def update_reading(self) -> None:
         """Pause or resume reading.
@@ -191,7 +197,7 @@
             try:
                 arguments = self.input.buffer.take_command()
             except (FrameError, hiredis.HiredisError) as error:
-                self._close_with_error(str(error))
+                self._close_with_error(str(error), CloseReason.MALFORMED_INPUT)
                 break
             if arguments is None:
                 has_partial_command = True
@@ -239,11 +245,13 @@
 
     def _close_after_last_command(self) -> None:
         if self.is_input_ended and not self.input.buffer.has_untaken_bytes():
+            self.close_reason = CloseReason.MALFORMED_INPUT
             self.is_closing = True
 
-    def _close_with_error(self, reason: str) -> None:
+    def _close_with_error(self, reason: str, close_reason: CloseReason) -> None:
         """Send an error after the pending replies and close, since further input cannot be parsed."""
         self.owner.log_malformed_command(reason)
+        self.close_reason = close_reason
         self.is_closing = True
         self.input.buffer.clear()
         text = reason.encode("ascii", "replace").replace(b"\r", b" ").replace(b"\n", b" ")
--- a/ingress/downstream/listener.py
+++ b/ingress/downstream/listener.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable
 from typing import Any
 
+from ingress.downstream.close_reason import CloseReason
 from ingress.downstream.commands import CommandParser
 from ingress.downstream.connection import ClientConnection
 from ingress.downstream.idle_connections import IdleConnections
@@ -19,6 +20,7 @@
 from ingress.network.addresses import Address
 from ingress.network.buffer_budget import BufferBudget
 from ingress.network.clock import Clock
+from ingress.network.event_counts import EventCounts
 from ingress.network.rate_limited_log import RateLimitedLog
 
 log = logging.getLogger(__name__)
@@ -45,12 +47,14 @@
         settings: Settings,
         handler: RequestHandler,
         clock: Clock,
+        counts: EventCounts,
     ) -> None:
         """Bind the address, or raise OSError if it is in use; `open` starts to listen."""
         self.loop = asyncio.get_running_loop()
         self.clock = clock
         self.max_connections = max_connections
         self.handler = handler
+        self.counts = counts
         self.command_parser = CommandParser(settings)
         self.connections: set[ClientConnection] = set()
         self.evicted: set[ClientConnection] = set()  # aborted, but their file descriptors are still open
@@ -104,6 +108,7 @@
             self.idle_connections.discard(connection)
             if connection.transport is not None:
                 self.evicted.add(connection)
+                connection.close_reason = CloseReason.EVICTED
                 connection.transport.abort()
 
     # Methods that connections call
@@ -126,6 +131,7 @@
 
     def on_connection_closed(self, connection: ClientConnection) -> None:
         """Forget a connection whose file descriptor has been released, and accept connections again."""
+        self.counts.add(connection.close_reason)
         self.connections.discard(connection)
         self.evicted.discard(connection)
         self._resume_accepting()
--- a/ingress/process/attempt_dispatcher.py
+++ b/ingress/process/attempt_dispatcher.py
@@ -8,8 +8,10 @@
 import ingress.interface as api
 from ingress.downstream.commands import encode_bulk_string
 from ingress.network.clock import Clock
+from ingress.network.event_counts import EventCounts
 from ingress.process.configuration import Config
 from ingress.process.in_flight import InFlightRequest, InFlightRequests
+from ingress.process.request_events import EVENT_BY_OUTCOME, RequestEvent
 from ingress.process.request_service import FINAL_ANSWER_MARGIN_S
 from ingress.upstream.attempt import Attempt
 from ingress.upstream.pool import ConnectionPool
@@ -25,6 +27,7 @@
         requests: InFlightRequests,
         answer_request: Callable[[InFlightRequest, bytes], None],
         feed: Callable[[api.Event], None],
+        counts: EventCounts,
     ) -> None:
         """Create the connection pool, without endpoints.
 
@@ -35,6 +38,7 @@
         self.requests = requests
         self.answer_request = answer_request
         self.feed = feed
+        self.counts = counts
         self.in_flight: dict[tuple[str, int], Attempt] = {}  # by request key and attempt number
         self.pool = ConnectionPool(
             config.backend_sockets,
@@ -63,6 +67,8 @@
             return
         if request.attempt is not None:
             self.pool.cancel_attempt(request.attempt)  # a request has at most one attempt in flight
+        if attempt_number:
+            self.counts.add(RequestEvent.RETRIED)
         attempt = _create_attempt(request, attempt_number, action, now)
         request.attempt = attempt
         self.in_flight[request.key, attempt_number] = attempt
@@ -78,6 +84,7 @@
         self, attempt: Attempt, outcome: api.Outcome, value: bytes | None, load_report: dict[str, float]
     ) -> None:
         """Answer the request if the backend sent a value, and report the outcome to the decision module."""
+        self.counts.add(EVENT_BY_OUTCOME[outcome])
         request = self.requests.get(attempt.request_key)
         self.in_flight.pop((attempt.request_key, attempt.number), None)
         if request is not None:
--- a/ingress/process/ingress.py
+++ b/ingress/process/ingress.py
@@ -19,11 +19,14 @@
 from ingress.event_queue import EventQueue
 from ingress.network.addresses import Address, AddressBook
 from ingress.network.clock import Clock, unix_clock
+from ingress.network.event_counts import EventCounts
 from ingress.process.action_executor import ActionExecutor
 from ingress.process.attempt_dispatcher import AttemptDispatcher
 from ingress.process.configuration import Config
+from ingress.process.health_log import HealthLog
 from ingress.process.in_flight import InFlightRequests
 from ingress.process.reload import apply_reload, find_fields_requiring_restart
+from ingress.process.request_events import RequestEvent
 from ingress.process.request_service import RequestService
 from ingress.process.shutdown import shut_down_gracefully
 from ingress.upstream.attempt import Attempt
@@ -51,10 +54,13 @@
         # List version from which the watch continues; None if it must fetch the complete list first.
         self.restored_version = config.known.version if config.known.backends else None
         self.watch: asyncio.Task[None] | None = None
+        self.counts = EventCounts()
         self.requests = InFlightRequests(config.max_in_flight, config.max_buffered_bytes)
-        self.request_service = RequestService(self.requests, self.clock, self.feed, self._cancel_if_unsent)
+        self.request_service = RequestService(
+            self.requests, self.clock, self.feed, self._cancel_if_unsent, self.counts
+        )
         self.attempt_dispatcher = AttemptDispatcher(
-            config, self.clock, self.requests, self.request_service.answer, self.feed
+            config, self.clock, self.requests, self.request_service.answer, self.feed, self.counts
         )
         self.pool = self.attempt_dispatcher.pool
         self.counter = self._create_counter_client(config.counter)
@@ -68,7 +74,9 @@
             self.settings,
             self.request_service,
             self.clock,
+            self.counts,
         )
+        self.health_log = HealthLog(self.counts, self._describe_load)
 
     async def run(self, stop: asyncio.Event) -> None:
         """Serve until `stop` is set, then shut down gracefully."""
@@ -83,6 +91,7 @@
             self._close()
             return
         self.listener.open()
+        self.health_log.start()
         # The watch asks only for changes since the restored list, since sending complete lists to many
         # ingresses that start together would overload discovery.
         self._start_watch(self.restored_version)
@@ -155,6 +164,7 @@
 
     def _close(self) -> None:
         self.is_closed = True
+        self.health_log.close()
         self.pool.close()
         if self.counter is not None:
             self.counter.close()
@@ -163,6 +173,12 @@
         # This method exists because the request service, which calls it, is created before the pool.
         self.pool.cancel_attempt_if_unsent(attempt)
 
+    def _describe_load(self) -> str:
+        return (
+            f"connections={len(self.listener.connections)} in_flight={len(self.requests)}"
+            f" input_bytes={self.listener.input_budget.used_bytes}"
+        )
+
     # Events for the decision module
 
     def _handle_event(self, event: api.Event) -> None:
@@ -186,7 +202,7 @@
         elif has_failed and isinstance(event, api.Request | api.AttemptEnded):
             request = self.requests.get(event.id)
             if request is not None:
-                self.request_service.fail_and_cancel(request)
+                self.request_service.fail_and_cancel(request, RequestEvent.FAILED_BY_FAULT)
 
 
 def _address_text(address: Address | None) -> str:
--- a/ingress/process/program.py
+++ b/ingress/process/program.py
@@ -7,6 +7,7 @@
 import os
 import signal
 import sys
+import time
 from collections.abc import Collection
 from pathlib import Path
 
@@ -17,6 +18,9 @@
 
 log = logging.getLogger("ingress")
 
+LOG_FORMAT = "%(asctime)s.%(msecs)03dZ %(levelname)s %(name)s: %(message)s"
+LOG_TIME_FORMAT = "%Y-%m-%dT%H:%M:%S"  # in UTC
+
 
 def load_config() -> Config:
     """Read and return the configuration; raise ConfigurationError if it is missing or invalid."""
@@ -60,13 +64,19 @@
     log.error("configuration rejected reason=%r", reason)
 
 
+def configure_logging() -> None:
+    """Log to standard error, with the time of each line in UTC."""
+    logging.Formatter.converter = time.gmtime
+    logging.basicConfig(level=logging.INFO, stream=sys.stderr, format=LOG_FORMAT, datefmt=LOG_TIME_FORMAT)
+
+
 def main(blocked_signals: Collection[signal.Signals]) -> int:
     """Serve until SIGTERM or SIGINT, and return the exit code.
 
     The code is 2 if the configuration is invalid, and 1 if the address to listen on is in use.  The caller
     must have blocked the signals that the program handles; they are blocked again on return.
     """
-    logging.basicConfig(level=logging.INFO, stream=sys.stderr, format="%(levelname)s %(name)s: %(message)s")
+    configure_logging()
     try:
         server = serve(load_config(), blocked_signals)
     except ConfigurationError as error:
--- a/ingress/process/request_service.py
+++ b/ingress/process/request_service.py
@@ -11,8 +11,11 @@
 from ingress.downstream.commands import Command, CommandError
 from ingress.downstream.request_handler import PendingReply
 from ingress.network.clock import Clock
+from ingress.network.event_counts import EventCounts
+from ingress.network.rate_limited_log import RateLimitedLog
 from ingress.process.deadlines import decision_time
 from ingress.process.in_flight import InFlightRequest, InFlightRequests
+from ingress.process.request_events import RequestEvent
 from ingress.upstream.attempt import Attempt
 
 log = logging.getLogger(__name__)
@@ -20,6 +23,7 @@
 FINAL_ANSWER_MARGIN_S = 0.005  # time before the client's deadline at which a final answer is enforced
 FAILED_REPLY = b"-ERR failed\r\n"
 BUSY_REPLY = b"-BUSY\r\n"
+MAX_LOGGED_REFUSALS = 50  # refusals that are logged one by one; of the later ones only a sample is
 
 
 class RequestService:
@@ -31,6 +35,7 @@
         clock: Clock,
         feed: Callable[[api.Event], None],
         cancel_if_unsent: Callable[[Attempt], None],
+        counts: EventCounts,
     ) -> None:
         """Create a service without requests.
 
@@ -42,6 +47,8 @@
         self.loop = asyncio.get_running_loop()
         self.feed = feed
         self.cancel_if_unsent = cancel_if_unsent
+        self.counts = counts
+        self.refusal_log = RateLimitedLog(log, MAX_LOGGED_REFUSALS)
         self.is_refusing_requests = False  # True at the end of the shutdown: no backend could answer in time
 
     def handle_request(self, reply: PendingReply, command: Command, received_at: float) -> None:
@@ -52,9 +59,13 @@
         belongs to a request that has not been answered.
         """
         if command.client_request_id in self.requests.unanswered_client_request_ids:
+            self.counts.add(RequestEvent.REJECTED_OPEN_ID)
             raise CommandError("the id belongs to an open request")
-        if self.is_refusing_requests or self.requests.is_full:
-            reply.answer(BUSY_REPLY)
+        if self.is_refusing_requests:
+            self._refuse(reply, command, RequestEvent.REFUSED_SHUTTING_DOWN)
+            return
+        if self.requests.is_full:
+            self._refuse(reply, command, RequestEvent.REFUSED_TOO_MANY_IN_FLIGHT)
             return
         request = self.requests.add(reply, command, received_at + command.wait_s)
         time_left = request.deadline - self.clock()
@@ -67,6 +78,7 @@
         """Cancel the request of the reply if it is in flight and unanswered."""
         request = self.requests.get(reply.request_key)
         if request is not None and not request.is_answered:
+            self.counts.add(RequestEvent.CLIENT_LEFT)
             self._mark_answered(request)
             self.feed(api.RequestCancelled(request.key))
 
@@ -77,6 +89,7 @@
 
     def reject(self, key: str, retry_after: float) -> None:
         """Give a request the final answer "rejected"; `retry_after` is in seconds, or 0 to send none."""
+        self.counts.add(RequestEvent.REFUSED_BY_DECISION)
         if retry_after > 0:
             self._give_final_answer(key, b"-BUSY %d\r\n" % ceil(retry_after * 1000))
         else:
@@ -84,11 +97,13 @@
 
     def fail(self, key: str) -> None:
         """Give a request the final answer "failed"."""
+        self.counts.add(RequestEvent.FAILED_BY_DECISION)
         self._give_final_answer(key, FAILED_REPLY)
 
-    def fail_and_cancel(self, request: InFlightRequest) -> None:
+    def fail_and_cancel(self, request: InFlightRequest, reason: RequestEvent) -> None:
         """Fail an unanswered request and report it to the decision module as cancelled."""
         if not request.is_answered:
+            self.counts.add(reason)
             self.answer(request, FAILED_REPLY)
             self.feed(api.RequestCancelled(request.key))
 
@@ -96,13 +111,25 @@
         """Fail the requests in flight and refuse all new ones from now on."""
         self.is_refusing_requests = True
         for request in list(self.requests):
-            self.fail_and_cancel(request)
+            self.fail_and_cancel(request, RequestEvent.FAILED_AT_SHUTDOWN)
 
     def _enforce_deadline(self, request: InFlightRequest) -> None:
         """Fail a request if neither a backend nor the decision module has answered it in time."""
         if not request.is_answered:
-            log.warning("request deadline enforced id=%s", request.key)
-            self.fail_and_cancel(request)
+            log.warning(
+                "request deadline enforced id=%s client_request_id=%s attempts=%d",
+                request.key,
+                request.command.client_request_id.decode(),
+                request.requested_attempt_count,
+            )
+            self.fail_and_cancel(request, RequestEvent.FAILED_AT_DEADLINE)
+
+    def _refuse(self, reply: PendingReply, command: Command, reason: RequestEvent) -> None:
+        """Answer a request BUSY that the decision module never sees."""
+        self.counts.add(reason)
+        client_request_id = command.client_request_id.decode()
+        self.refusal_log.warning("request refused reason=%s client_request_id=%s", reason, client_request_id)
+        reply.answer(BUSY_REPLY)
 
     def _give_final_answer(self, key: str, data: bytes) -> None:
         """Remove a request that the decision module has finished, and answer it unless it has an answer."""
--- a/scale/report/tables.py
+++ b/scale/report/tables.py
@@ -15,6 +15,7 @@
 
 EXPONENT_DECIMALS = 2
 
+
 def markdown_table(head: Sequence[str], rows: Iterable[Sequence[str]]) -> str:
     """Return a Markdown table."""
     lines = [head, ["---"] * len(head), *rows]
