Input of client connections is processed in slices, and not read on behind a backlog

Cause: ClientConnection.data_received executed everything that it got before the loop turned, 0.13 to 0.28 s for one read of 256,000 bytes of PINGs; and the loop reads a connection up to 32 times in a row while reads fill its buffer. A trace shows 19 reads of one connection in one turn of 5.0 s. After eight malformed commands the whole buffer was parsed in one go. Change: InputScheduler gives connections slices of 0.25 ms, 2 ms in a turn of the loop, new input before backlogs; reading pauses above 64 KiB of backlog, which ends the chain of reads; the search for the last request to serve runs in slices as well. A closing connection whose reading was paused reads on, so that its error arrives before the close. A larger buffer or more time would not end it: each connection's turn is bounded now, whatever arrives.

--- a/ingress/downstream/command_buffer.py
+++ b/ingress/downstream/command_buffer.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from typing import cast
 
 import hiredis
@@ -49,28 +49,29 @@
         Raise FrameError or hiredis.HiredisError if the command is malformed.  The bytes after a malformed
         command cannot be interpreted either.
         """
-        start = self._taken_bytes
-        end = find_array_end(self._data, start, MAX_ARGUMENTS, MAX_ARGUMENT_BYTES, MAX_COMMAND_BYTES)
+        end = self._find_command_end(self._taken_bytes)
         if end < 0:
             return None
-        self._reader.feed(bytes(self._data[start:end]))
-        arguments = self._reader.gets()
+        arguments = self._parse_command(self._taken_bytes, end)
         self._taken_bytes = end
-        return cast(list[bytes], arguments)
+        return arguments
 
-    def keep_through_last(self, is_wanted: Callable[[list[bytes]], bool]) -> None:
+    def keep_through_last(self, is_wanted: Callable[[list[bytes]], bool]) -> Iterator[None]:
         """Remove all bytes behind the last untaken command for whose arguments `is_wanted` returns true.
 
-        Without such a command, no untaken byte is left.  No command counts as taken by this.
+        Without such a command, no untaken byte is left.  No command counts as taken by this.  The iterator
+        yields after each command that it examines, so that the caller can do it in parts; until it is
+        exhausted, the buffer must not be changed otherwise.
         """
-        start = end = self._taken_bytes
+        position = end = self._taken_bytes
         try:
-            while (arguments := self.take_command()) is not None:
-                if is_wanted(arguments):
-                    end = self._taken_bytes
+            while (command_end := self._find_command_end(position)) >= 0:
+                if is_wanted(self._parse_command(position, command_end)):
+                    end = command_end
+                position = command_end
+                yield
         except (FrameError, hiredis.HiredisError):
             pass  # the bytes after a malformed command cannot be interpreted
-        self._taken_bytes = start
         self._budget.used_bytes -= len(self._data) - end
         del self._data[end:]
 
@@ -82,6 +83,13 @@
         """Remove all bytes."""
         self._drop(len(self._data))
 
+    def _find_command_end(self, start: int) -> int:
+        return find_array_end(self._data, start, MAX_ARGUMENTS, MAX_ARGUMENT_BYTES, MAX_COMMAND_BYTES)
+
+    def _parse_command(self, start: int, end: int) -> list[bytes]:
+        self._reader.feed(bytes(self._data[start:end]))
+        return cast(list[bytes], self._reader.gets())
+
     def _drop(self, size: int) -> None:
         del self._data[:size]
         self._taken_bytes = 0
--- a/ingress/downstream/connection.py
+++ b/ingress/downstream/connection.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import socket
-from collections import deque
+import time
 from typing import cast
 
 import hiredis
@@ -14,13 +14,16 @@
 from ingress.downstream.close_reason import CloseReason
 from ingress.downstream.command_executor import CommandExecutor
 from ingress.downstream.connection_owner import ConnectionOwner
+from ingress.downstream.input_end import InputEnd
 from ingress.downstream.read_pause import ReadPause
+from ingress.downstream.reply_queue import ReplyQueue
 from ingress.downstream.request_handler import PendingReply
+from ingress.downstream.timeout_check import enforce_timeouts
 from ingress.network.frames import FrameError
 from ingress.network.sockets import has_unread_bytes
 
 MAX_PIPELINED = 64  # unanswered commands of a connection; at this number, no further commands are taken
-MAX_DISCARDED_BYTES = 1024 * 1024  # input that a closing connection discards before it stops reading
+MAX_BACKLOG_BYTES = 64 * 1024  # unprocessed input of a connection from which it is not read further
 
 
 class ClientConnection(asyncio.Protocol):
@@ -29,16 +32,16 @@
     def __init__(self, owner: ConnectionOwner[ClientConnection], sock: socket.socket) -> None:
         self.owner = owner
         self.sock = sock
-        self.pending_replies: deque[PendingReply] = deque()  # in the order of their commands
+        self.pending_replies = ReplyQueue(self)
         self.transport: asyncio.Transport | None = None
         # When the connection was established or its last pending reply was written.
         self.idle_since = owner.clock()
         self.input = ClientInput(owner.input_limiter.budget, self.idle_since)
         self.write_blocked_since: float | None = None  # when the write buffer became full
         self.command_executor = CommandExecutor(owner)
-        self.discarded_bytes = 0
+        self.input_end = InputEnd()
         self.is_pipeline_full = False
-        self.is_input_ended = False  # further input is discarded; the buffered commands are still taken
+        self.has_backlog = False  # waits for its turn to process buffered input
         self.is_closing = False  # takes no more commands and closes after all pending replies are written
         self.close_reason = CloseReason.CLIENT_LEFT  # the reason unless this side closes
         self.read_pause = ReadPause(owner.loop, sock, self.update_reading)
@@ -55,15 +58,15 @@
             self.owner.loop.call_soon(self.update_reading)
 
     def data_received(self, data: bytes) -> None:
-        """Buffer received input and execute the commands that it completes."""
-        if self.is_closing or self.is_input_ended:
-            self._discard_input(len(data))
+        """Buffer received input, and have the commands that it completes executed soon."""
+        if self.is_closing or self.input_end.is_reached:
+            self.input_end.discard(len(data), self.transport)
             return
         self.input.append(data, self.owner.clock())
-        if self._is_back_pressured():
+        if not self._is_back_pressured():
+            self._schedule_processing()
+        if self._is_back_pressured() or self._is_backlog_full():
             self.update_reading()
-        else:
-            self._process_buffer()
         if self.owner.input_limiter.must_act():
             self.owner.input_limiter.enforce()
 
@@ -75,7 +78,7 @@
     def resume_writing(self) -> None:
         """Take commands again, now that the write buffer has room."""
         self.write_blocked_since = None
-        self.owner.loop.call_soon(self._process_buffer)
+        self._schedule_processing()
 
     def eof_received(self) -> None:
         """Treat the end of the client's input as a disconnect."""
@@ -90,17 +93,15 @@
 
     def flush(self) -> None:
         """Write the replies that are ready, in the order of their commands."""
-        ready = []
-        while self.pending_replies and self.pending_replies[0].data is not None:
-            ready.append(self.pending_replies.popleft().data or b"")
+        ready = self.pending_replies.take_ready()
         if self.transport is None or not ready:
             return
-        self.transport.write(ready[0] if len(ready) == 1 else b"".join(ready))
+        self.transport.write(ready)
         if not self.pending_replies:
             self._on_all_replies_written(self.transport)
         if self.is_pipeline_full and not self.is_closing and len(self.pending_replies) <= MAX_PIPELINED // 2:
             self.is_pipeline_full = False
-            self.owner.loop.call_soon(self._process_buffer)
+            self._schedule_processing()
 
     def has_empty_buffers(self) -> bool:
         """Return whether closing loses nothing: no input is buffered or unread, and no reply is unsent.
@@ -118,34 +119,20 @@
             self.transport.close()
 
     def enforce_timeouts(self, now: float) -> None:
-        """Close the connection if its client has been too slow or idle for too long at the time `now`.
+        """Close the connection if its client has been too slow or idle for too long at the time `now`."""
+        if self.transport is not None:
+            enforce_timeouts(self, now)
 
-        Each timeout runs from the start of the wait, so a client cannot extend it by sending single bytes.
-        """
-        if self.transport is None:
-            return
-        if self.input.is_suspended and not self.has_unread_input():
-            self.input.record_empty_socket(now)
-        if self.is_closing and not self.pending_replies:
-            if now - self.idle_since > timeouts.LINGER_TIMEOUT_S:
-                self.transport.abort()
-        elif self.write_blocked_since is not None:
-            if now - self.write_blocked_since > timeouts.READ_TIMEOUT_S:
-                self.close_reason = CloseReason.READ_TIMEOUT
-                self.transport.abort()
-        elif self.holds_only_partial_command():
-            self._enforce_partial_command_timeout(now)
-        elif not self.pending_replies:
-            timeout_s = timeouts.compute_idle_timeout_s(self.owner.is_new(self), self.owner.is_draining)
-            if now - self.idle_since > timeout_s:
-                self.close_if_idle()
-
-    def _enforce_partial_command_timeout(self, now: float) -> None:
-        """Reject an overdue incomplete command; if more of it lies unread, only after a grace time."""
-        if self.input.is_overdue(now) and (self.input.is_grace_over(now) or not self.has_unread_input()):
-            self._close_with_error(
-                "the rest of the command did not come", CloseReason.PARTIAL_COMMAND_TIMEOUT
-            )
+    @property
+    def idle_timeout_s(self) -> float:
+        """How long the connection may stay without a command, in seconds."""
+        return timeouts.compute_idle_timeout_s(self.owner.is_new(self), self.owner.is_draining)
+
+    def abort(self, close_reason: CloseReason | None) -> None:
+        """Close the connection at once; None leaves the reason that was set before."""
+        self.close_reason = close_reason or self.close_reason
+        if self.transport is not None:
+            self.transport.abort()
 
     # Methods that the input limiter calls
 
@@ -158,24 +145,28 @@
 
     def takes_input(self) -> bool:
         """Return whether input that is read now is processed at once."""
-        is_open = self.transport is not None and not self.is_closing and not self.is_input_ended
+        is_open = self.transport is not None and not self.is_closing and not self.input_end.is_reached
         return is_open and not self._is_back_pressured()
 
     def has_unread_input(self) -> bool:
         """Return whether input has arrived that was not read yet."""
         return has_unread_bytes(self.sock)
 
-    def reject_partial_command(self) -> None:
+    def reject_partial_command(self, text: str, close_reason: CloseReason) -> None:
         """Answer the incomplete command with an error, drop it, and close the connection."""
-        self._close_with_error("too much is on the way", CloseReason.INPUT_LIMIT)
+        self._close_with_error(text, close_reason)
 
     def update_reading(self) -> None:
         """Pause or resume reading.
 
-        Under back-pressure, reading is paused once the input of all connections uses half of its budget.
-        Below half of the budget it continues, because a disconnect is detected fastest by reading.
+        It is paused while a large backlog waits for its turn, since the event loop reads a connection again
+        and again while input arrives.  Under back-pressure, it is paused once the input of all connections
+        uses half of its budget.  Below half, it continues: a disconnect is detected fastest by reading.
         """
-        if self.transport is None or self.transport.is_closing() or self.is_closing or self.is_input_ended:
+        if self.transport is None or self.transport.is_closing():
+            return
+        if self.is_closing or self.input_end.is_reached:
+            self.input_end.resume_discarding(self.transport)
             return
         if not self.owner.input_limiter.may_read(self):
             self.input.suspend(self.owner.clock())
@@ -183,17 +174,34 @@
             return
         if self.input.is_suspended:
             self.input.resume(self.has_unread_input())
-        if self._is_back_pressured() and self.owner.input_limiter.budget.is_half_used():
+        is_budget_half_used = self.owner.input_limiter.budget.is_half_used()
+        if self._is_backlog_full() or (self._is_back_pressured() and is_budget_half_used):
             self.read_pause.pause(self.transport)
         else:
             self.transport.resume_reading()
 
     # Commands
 
-    def _process_buffer(self) -> None:
-        """Execute the complete commands in the buffer, as many as back-pressure allows."""
+    def process_input(self, end_time: float) -> bool:
+        """Execute complete commands in the buffer until `end_time`; return whether there are more.
+
+        At least one command is executed, if back-pressure allows it.
+        """
+        if not self.has_backlog:
+            return False
+        if self.input_end.is_searching:
+            self.input_end.search(end_time)
+            if self.input_end.is_searching:
+                return True
+            self._close_if_all_is_served()
+        self.has_backlog = False
+        self._execute_commands(end_time)
+        self.update_reading()
+        return self.has_backlog
+
+    def _execute_commands(self, end_time: float) -> None:
         has_partial_command = False
-        while self._can_take_command():
+        while not self.has_backlog and self._can_take_command():
             try:
                 arguments = self.input.buffer.take_command()
             except (FrameError, hiredis.HiredisError) as error:
@@ -204,12 +212,20 @@
                 break
             self.input.partial_command_since = None
             self._handle_command(arguments)
+            self.has_backlog = self.input_end.is_searching or (
+                time.monotonic() >= end_time and self._can_take_command()
+            )
         if self.is_closing or self.transport is None:
             self.input.buffer.clear()
         else:
             self.input.buffer.drop_taken_bytes()
-        self.input.record_examined(has_partial_command)
-        self.update_reading()
+        if not self.has_backlog:
+            self.input.record_examined(has_partial_command)
+
+    def _schedule_processing(self) -> None:
+        if self.transport is not None:
+            self.has_backlog = True
+            self.owner.input_scheduler.schedule(self)
 
     def _can_take_command(self) -> bool:
         """Return whether a command may be taken now; update `is_pipeline_full`."""
@@ -224,27 +240,23 @@
         error_reply = self.command_executor.execute(reply, arguments, self.input.arrived_at)
         if error_reply is not None:
             if self.command_executor.is_malformed_limit_reached():
-                self._end_input()
-                self._close_after_last_command()
+                self.input_end.reach(self.input.buffer, self.command_executor.is_valid_request)
             reply.answer(error_reply)
 
     def _add_pending_reply(self) -> PendingReply:
         if not self.pending_replies:
             self.owner.mark_busy(self)
-        reply = PendingReply(self)
-        self.pending_replies.append(reply)
-        return reply
+        return self.pending_replies.add()
 
     # Closing
 
-    def _end_input(self) -> None:
-        """Take no further input, and of the buffered commands those up to the last valid request."""
-        if not self.is_input_ended:
-            self.is_input_ended = True
-            self.input.buffer.keep_through_last(self.command_executor.is_valid_request)
+    def _close_if_all_is_served(self) -> None:
+        self._close_after_last_command()
+        if self.is_closing and not self.pending_replies and self.transport is not None:
+            self._on_all_replies_written(self.transport)
 
     def _close_after_last_command(self) -> None:
-        if self.is_input_ended and not self.input.buffer.has_untaken_bytes():
+        if self.input_end.is_searched and not self.input.buffer.has_untaken_bytes():
             self.close_reason = CloseReason.MALFORMED_INPUT
             self.is_closing = True
 
@@ -256,12 +268,7 @@
         self.input.buffer.clear()
         text = reason.encode("ascii", "replace").replace(b"\r", b" ").replace(b"\n", b" ")
         self._add_pending_reply().answer(b"-ERR %b\r\n" % text)
-
-    def _discard_input(self, size: int) -> None:
-        """Discard input of a closing connection, since a close with unread input resets the connection."""
-        self.discarded_bytes += size
-        if self.discarded_bytes > MAX_DISCARDED_BYTES and self.transport is not None:
-            self.transport.pause_reading()
+        self.update_reading()
 
     def _on_all_replies_written(self, transport: asyncio.Transport) -> None:
         self.idle_since = self.owner.clock()
@@ -275,17 +282,18 @@
     def _handle_disconnect(self) -> None:
         """Cancel the unanswered requests of a client that has disconnected."""
         self.transport = None
-        pending_replies = self.pending_replies
-        self.pending_replies = deque()
+        self.input_end.cancel()
+        self.owner.input_scheduler.discard(self)
         self.input.buffer.clear()
         self.owner.mark_busy(self)
-        for reply in pending_replies:
-            if reply.data is None:
-                reply.data = b""  # makes `PendingReply.answer` ignore a later answer
-                self.owner.handler.on_client_disconnected(reply)
+        self.pending_replies.abandon(self.owner.handler.on_client_disconnected)
 
     # Back-pressure
 
     def _is_back_pressured(self) -> bool:
         """Return whether commands are held back because the pipeline or the write buffer is full."""
         return self.is_pipeline_full or self.write_blocked_since is not None
+
+    def _is_backlog_full(self) -> bool:
+        """Return whether so much input waits for its turn that no more is read."""
+        return self.has_backlog and len(self.input.buffer) > MAX_BACKLOG_BYTES
--- a/ingress/downstream/connection_owner.py
+++ b/ingress/downstream/connection_owner.py
@@ -7,6 +7,7 @@
 
 from ingress.downstream.commands import CommandParser
 from ingress.downstream.input_limiter import InputLimiter
+from ingress.downstream.input_scheduler import InputScheduler
 from ingress.downstream.request_handler import RequestHandler
 from ingress.network.clock import Clock
 
@@ -21,6 +22,7 @@
     command_parser: CommandParser
     handler: RequestHandler
     input_limiter: InputLimiter
+    input_scheduler: InputScheduler
     is_draining: bool
 
     def mark_new(self, connection: Connection) -> None:
--- a/ingress/downstream/input_limiter.py
+++ b/ingress/downstream/input_limiter.py
@@ -8,6 +8,7 @@
 from typing import Protocol
 
 from ingress.downstream.client_input import ClientInput
+from ingress.downstream.close_reason import CloseReason
 from ingress.downstream.command_buffer import MAX_COMMAND_BYTES
 from ingress.network.buffer_budget import BufferBudget
 from ingress.network.clock import Clock
@@ -34,7 +35,7 @@
     def has_unread_input(self) -> bool:
         """Return whether input has arrived that was not read yet."""
 
-    def reject_partial_command(self) -> None:
+    def reject_partial_command(self, text: str, close_reason: CloseReason) -> None:
         """Answer the incomplete command with an error, drop it, and close the connection."""
 
     def update_reading(self) -> None:
@@ -116,7 +117,7 @@
             if connection.input.last_received_at > last_received_before:
                 return
             if not connection.has_unread_input():
-                connection.reject_partial_command()
+                connection.reject_partial_command("too much is on the way", CloseReason.INPUT_LIMIT)
                 if not self.budget.is_exceeded():
                     return
 
--- a/ingress/downstream/listener.py
+++ b/ingress/downstream/listener.py
@@ -15,6 +15,7 @@
 from ingress.downstream.connection import ClientConnection
 from ingress.downstream.idle_connections import IdleConnections
 from ingress.downstream.input_limiter import InputLimiter
+from ingress.downstream.input_scheduler import InputScheduler
 from ingress.downstream.request_handler import RequestHandler
 from ingress.interface import Settings
 from ingress.network.addresses import Address
@@ -63,6 +64,7 @@
         self.input_limiter = InputLimiter(
             self.input_budget, self.connections, self.loop, clock, self._resume_accepting
         )
+        self.input_scheduler = InputScheduler(self.loop)
         self.sweep_timer = self.loop.call_later(SWEEP_INTERVAL_S, self._sweep)
         self.accept_tasks: set[asyncio.Task[Any]] = set()
         self.is_draining = False
@@ -108,8 +110,7 @@
             self.idle_connections.discard(connection)
             if connection.transport is not None:
                 self.evicted.add(connection)
-                connection.close_reason = CloseReason.EVICTED
-                connection.transport.abort()
+                connection.abort(CloseReason.EVICTED)
 
     # Methods that connections call
 
--- /dev/null
+++ b/ingress/downstream/reply_queue.py
@@ -0,0 +1,44 @@
+"""The replies of one client connection that are not written yet."""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable
+
+from ingress.downstream.request_handler import PendingReply, ReplyWriter
+
+
+class ReplyQueue:
+    """Pending replies in the order of their commands, in which they are written."""
+
+    __slots__ = ("_pending", "_writer")
+
+    def __init__(self, writer: ReplyWriter) -> None:
+        """Create an empty queue of the connection `writer`."""
+        self._writer = writer
+        self._pending: deque[PendingReply] = deque()
+
+    def __len__(self) -> int:
+        return len(self._pending)
+
+    def add(self) -> PendingReply:
+        """Add the pending reply of the next command."""
+        reply = PendingReply(self._writer)
+        self._pending.append(reply)
+        return reply
+
+    def take_ready(self) -> bytes:
+        """Remove the replies that are known and have none before them that is not; return their bytes."""
+        ready = []
+        while self._pending and self._pending[0].data is not None:
+            ready.append(self._pending.popleft().data or b"")
+        return ready[0] if len(ready) == 1 else b"".join(ready)
+
+    def abandon(self, on_abandoned: Callable[[PendingReply], None]) -> None:
+        """Remove all replies; pass each unknown one to `on_abandoned`, and ignore its later answer."""
+        pending = self._pending
+        self._pending = deque()
+        for reply in pending:
+            if reply.data is None:
+                reply.data = b""  # makes `PendingReply.answer` ignore a later answer
+                on_abandoned(reply)
--- a/tests/downstream/test_command_buffer.py
+++ b/tests/downstream/test_command_buffer.py
@@ -56,7 +56,8 @@
     buffer = CommandBuffer(budget)
     buffer.append(PING + encode_resp_array(b"A") + encode_resp_array(b"B") + encode_resp_array(b"A") + b"*x")
     assert buffer.take_command() == [b"PING", b"text"]
-    buffer.keep_through_last(lambda arguments: arguments == [b"B"])
+    examined = list(buffer.keep_through_last(lambda arguments: arguments == [b"B"]))
+    assert len(examined) == 3
     assert buffer.take_command() == [b"A"]
     assert buffer.take_command() == [b"B"]
     assert not buffer.has_untaken_bytes()
@@ -69,6 +70,6 @@
     buffer = CommandBuffer(budget)
     buffer.append(PING + PING)
     buffer.take_command()
-    buffer.keep_through_last(lambda _: False)
+    assert len(list(buffer.keep_through_last(lambda _: False))) == 1
     assert not buffer.has_untaken_bytes()
     assert len(buffer) == budget.used_bytes == len(PING)
--- a/tests/downstream/test_connection.py
+++ b/tests/downstream/test_connection.py
@@ -8,7 +8,7 @@
 import hiredis
 import pytest
 
-from ingress.downstream import command_executor, connection, listener, timeouts
+from ingress.downstream import command_executor, connection, input_end, listener, timeouts
 from ingress.process.ingress import Ingress
 from tests.support.ingress import (
     running_ingress,
@@ -164,7 +164,7 @@
             client_connection = next(iter(ingress.listener.connections))
             caller.writer.write(bytes(60_000_000))
             await wait_until(lambda: not ingress.listener.connections)
-            assert client_connection.discarded_bytes < 2 * connection.MAX_DISCARDED_BYTES
+            assert client_connection.input_end.discarded_bytes < 2 * input_end.MAX_DISCARDED_BYTES
             caller.writer.transport.abort()
 
     run_async_test(body())
