Requests of a client that has left are neither executed nor written to a backend

Cause: the event loop reports a close only behind the input before it, and not at all while reading is paused. Commands were executed without looking, and attempts that had waited for a connection were written without looking again. Change: before a slice of input, and before a command is written to a backend, one peek at the client's socket tells whether it has closed; only with unread input is it polled too. If it has, its requests are cancelled and its input dropped. Related paths looked at: retries and requests that waited for the counter are written by the same method; hedged requests do not exist; a half-closed client counted as gone before as well.

--- a/ingress/downstream/connection.py
+++ b/ingress/downstream/connection.py
@@ -20,7 +20,7 @@
 from ingress.downstream.request_handler import PendingReply
 from ingress.downstream.timeout_check import enforce_timeouts
 from ingress.network.frames import FrameError
-from ingress.network.sockets import has_unread_bytes
+from ingress.network.sockets import has_peer_left, has_unread_bytes
 
 MAX_PIPELINED = 64  # unanswered commands of a connection; at this number, no further commands are taken
 MAX_BACKLOG_BYTES = 64 * 1024  # unprocessed input of a connection from which it is not read further
@@ -103,6 +103,17 @@
             self.is_pipeline_full = False
             self._schedule_processing()
 
+    def check_client_present(self) -> bool:
+        """Return whether the client is still connected; if it is not, cancel its requests.
+
+        The event loop reports a close only after the input before it was read, and not while reading is
+        paused.
+        """
+        if self.transport is not None and has_peer_left(self.sock):
+            self.transport.abort()
+            self._handle_disconnect()
+        return self.transport is not None
+
     def has_empty_buffers(self) -> bool:
         """Return whether closing loses nothing: no input is buffered or unread, and no reply is unsent.
 
@@ -187,7 +198,7 @@
 
         At least one command is executed, if back-pressure allows it.
         """
-        if not self.has_backlog:
+        if not self.has_backlog or not self.check_client_present():
             return False
         if self.input_end.is_searching:
             self.input_end.search(end_time)
--- a/ingress/downstream/request_handler.py
+++ b/ingress/downstream/request_handler.py
@@ -13,6 +13,9 @@
     def flush(self) -> None:
         """Write the replies that are ready, in the order of their commands."""
 
+    def check_client_present(self) -> bool:
+        """Return whether the client is still connected; if it is not, cancel its requests."""
+
 
 class PendingReply:
     """A reply that is sent once it is known and all earlier replies of its connection have been sent."""
--- a/ingress/network/sockets.py
+++ b/ingress/network/sockets.py
@@ -5,6 +5,8 @@
 import select
 import socket
 
+CLOSED_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR
+
 
 def has_unread_bytes(sock: socket.socket) -> bool:
     """Return whether there are unread bytes; the end or a failure of the connection does not count."""
@@ -29,4 +31,18 @@
     """Return whether the peer has closed its side or the connection, even if there are unread bytes."""
     poll = select.poll()
     poll.register(sock, select.POLLRDHUP)  # errors and resets are always reported
-    return bool(poll.poll(0))
+    return any(events & CLOSED_EVENTS for _, events in poll.poll(0))
+
+
+def has_peer_left(sock: socket.socket) -> bool:
+    """Return whether the peer has closed its side or the connection, or the socket is closed here.
+
+    Most often nothing is unread, and one system call tells.
+    """
+    try:
+        unread = sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+    except BlockingIOError:
+        return False
+    except OSError:
+        return True
+    return not unread or is_closed_by_peer(sock)
--- a/ingress/process/attempt_dispatcher.py
+++ b/ingress/process/attempt_dispatcher.py
@@ -117,4 +117,5 @@
         min(final_deadline, now + action.timeout) if action.timeout else final_deadline,
         request.command.encode_parts(),
         now + action.max_write_delay if action.max_write_delay else inf,
+        request.reply.writer.check_client_present,
     )
--- a/ingress/upstream/attempt.py
+++ b/ingress/upstream/attempt.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from math import inf
 from typing import Protocol
@@ -34,6 +35,7 @@
     deadline: float  # time at which the attempt times out
     command_parts: CommandParts
     write_deadline: float = inf  # time after which the command must not be written
+    check_client_present: Callable[[], bool] | None = None  # cancels the request if its client has left
     connection: AttemptConnection | None = None  # connection that the command was written to
     deadline_timer: asyncio.TimerHandle | None = field(default=None, repr=False)  # fires at `deadline`
     has_ended: bool = False  # whether the outcome was reported
@@ -42,6 +44,10 @@
         """Return whether the operating system has the complete command, so that it may have been executed."""
         return self.connection is not None and not self.connection.has_unsent_bytes
 
+    def is_wanted(self) -> bool:
+        """Return whether the command may be written: the attempt goes on, and its client is connected."""
+        return not self.has_ended and (self.check_client_present is None or self.check_client_present())
+
     def encode_command(self, now: float) -> bytes:
         """Return the client's command with its field `d` set to the milliseconds left until the deadline.
 
--- a/ingress/upstream/pool.py
+++ b/ingress/upstream/pool.py
@@ -140,7 +140,10 @@
 
     def _send_attempt(self, connection: BackendConnection, attempt: Attempt) -> None:
         now = self.clock()
-        if now + TRANSIT_MARGIN_S < attempt.write_deadline:
+        if not attempt.is_wanted():
+            self.release_connection(connection)
+            self._finish_attempt(attempt, Outcome.SUPERSEDED)
+        elif now + TRANSIT_MARGIN_S < attempt.write_deadline:
             connection.send(attempt, now)
         else:
             # The retry would reach the backend after the end of its deduplication window and take effect a
--- a/tests/downstream/test_command_executor.py
+++ b/tests/downstream/test_command_executor.py
@@ -8,18 +8,12 @@
 from ingress.downstream.commands import Command, CommandError, CommandParser
 from ingress.downstream.request_handler import PendingReply, RequestHandler
 from tests.support.peers import make_config
+from tests.support.writer import FakeWriter
 
 RECEIVED_AT = 1000.0
 VALID_COMMAND = [b"api.read", b"%016x" % 7, b"id-1", b"c=read,t=basic,d=100,units=1,spread=1,first=0"]
 
 
-class FakeWriter:
-    """A connection that does not send its replies."""
-
-    def flush(self) -> None:
-        """Do nothing."""
-
-
 class FakeOwner:
     """A listener that is also the request handler; the handler raises `error` unless it is None."""
 
--- /dev/null
+++ b/tests/process/test_departed_clients.py
@@ -0,0 +1,89 @@
+"""Requests whose client has closed its connection before their attempt is written."""
+
+from __future__ import annotations
+
+import socket
+
+import pytest
+
+import ingress.interface as api
+from ingress.downstream.close_reason import CloseReason
+from ingress.network.sockets import has_peer_left
+from tests.support.ingress import (
+    install_scripted_gateway,
+    running_ingress,
+    running_ingress_before,
+    send_to_s1,
+)
+from tests.support.peers import (
+    Address,
+    DelayedConnectLoop,
+    RespClient,
+    make_command,
+    make_config,
+    make_endpoint_entry,
+    make_scripted_backend,
+    reset_connection,
+    run_async_test,
+    wait_until,
+)
+
+BODY = b"x" * 20_000
+
+
+def send_and_leave(address: Address, data: bytes) -> None:
+    """Send data and close the connection, before the event loop turns."""
+    with socket.create_connection(address) as sock:
+        sock.sendall(data)
+
+
+@pytest.mark.parametrize("count", [1, 60, 2000], ids=["one", "some", "more than one read"])
+def test_requests_of_a_client_that_has_closed_are_not_executed(count: int) -> None:
+    """Guards against forwarding what a client sent before it closed its connection."""
+
+    async def body() -> None:
+        async with make_scripted_backend() as backend, running_ingress_before(backend) as (ingress, address):
+            gateway = install_scripted_gateway(ingress, send_to_s1)
+            send_and_leave(address, b"".join(make_command(str(number)) for number in range(count)))
+            await wait_until(lambda: ingress.counts.get(CloseReason.CLIENT_LEFT))
+            assert gateway.get_events_of_type(api.Request) == []
+            assert not ingress.listener.input_budget.used_bytes
+            caller = await RespClient.connect(address)
+            assert await caller.send_and_read_reply(make_command("later")) == b"later"
+            assert [arguments[2] for arguments in backend.received_commands] == [b"later"]
+
+    run_async_test(body())
+
+
+@pytest.mark.parametrize("with_reset", [False, True])
+def test_attempt_is_not_written_if_the_client_has_left_while_reading_was_paused(with_reset: bool) -> None:
+    """Guards against an attempt that begins after its client left, because the close was not read yet."""
+
+    async def body() -> None:
+        async with (
+            make_scripted_backend() as backend,
+            running_ingress(make_config(make_endpoint_entry(backend.address))) as (ingress, address),
+        ):
+            gateway = install_scripted_gateway(ingress, send_to_s1)
+            connect_loop = DelayedConnectLoop()
+            ingress.pool.loop = connect_loop  # type: ignore[assignment]
+            client = await RespClient.connect(address)
+            client.writer.write(make_command("left"))
+            await wait_until(lambda: ingress.attempt_dispatcher.in_flight)
+            [client_connection] = ingress.listener.connections
+            assert client_connection.transport is not None
+            client_connection.transport.pause_reading()
+            if with_reset:
+                reset_connection(client.writer)
+            else:
+                client.writer.write(make_command("behind"))
+                client.writer.close()
+            await wait_until(lambda: has_peer_left(client_connection.sock))
+            connect_loop.connect_allowed.set()
+            await wait_until(lambda: not ingress.attempt_dispatcher.in_flight)
+            await wait_until(lambda: not ingress.listener.connections)
+            assert len(gateway.get_events_of_type(api.RequestCancelled)) == 1
+            assert not ingress.requests.unanswered_client_request_ids
+            assert backend.received_commands == []
+
+    run_async_test(body())
--- a/tests/process/test_in_flight.py
+++ b/tests/process/test_in_flight.py
@@ -5,13 +5,7 @@
 from ingress.downstream.commands import Command
 from ingress.downstream.request_handler import PendingReply
 from ingress.process.in_flight import REQUEST_OVERHEAD_BYTES, InFlightRequest, InFlightRequests
-
-
-class FakeWriter:
-    """A connection that does not send its replies."""
-
-    def flush(self) -> None:
-        """Do nothing."""
+from tests.support.writer import FakeWriter
 
 
 def add_request(requests: InFlightRequests, client_id: bytes, body: bytes = b"") -> InFlightRequest:
--- /dev/null
+++ b/tests/support/writer.py
@@ -0,0 +1,14 @@
+"""A client connection that sends nothing."""
+
+from __future__ import annotations
+
+
+class FakeWriter:
+    """A connection that does not send its replies, and whose client stays connected."""
+
+    def flush(self) -> None:
+        """Do nothing."""
+
+    def check_client_present(self) -> bool:
+        """Return that the client is connected."""
+        return True
