An id whose request may have run is refused when it comes again after its client left

Cause: the end of a client's connection freed the ids of its open requests, though their attempts go on at the backends. One that was never forwarded may come again. Evidence: test_id_of_a_request_whose_client_left_is_not_executed_again fails with the check taken out.

--- a/ingress/process/request_service.py
+++ b/ingress/process/request_service.py
@@ -13,6 +13,7 @@
 from ingress.network.clock import Clock
 from ingress.network.event_counts import EventCounts
 from ingress.network.rate_limited_log import RateLimitedLog
+from ingress.process.abandoned_ids import AbandonedRequestIds
 from ingress.process.deadlines import decision_time
 from ingress.process.in_flight import InFlightRequest, InFlightRequests
 from ingress.process.request_events import RequestEvent
@@ -48,6 +49,7 @@
         self.feed = feed
         self.cancel_if_unsent = cancel_if_unsent
         self.counts = counts
+        self.abandoned_ids = AbandonedRequestIds()
         self.refusal_log = RateLimitedLog(log, MAX_LOGGED_REFUSALS)
         self.is_refusing_requests = False  # True at the end of the shutdown: no backend could answer in time
 
@@ -56,11 +58,9 @@
 
         The answer is BUSY while new requests are refused and while the requests in flight reach a limit.
         `received_at` is the time on the clock at which the command arrived.  Raise CommandError if the id
-        belongs to a request that has not been answered.
+        belongs to a request that has not been answered, or whose client left while it may have run.
         """
-        if command.client_request_id in self.requests.unanswered_client_request_ids:
-            self.counts.add(RequestEvent.REJECTED_OPEN_ID)
-            raise CommandError("the id belongs to an open request")
+        self._check_id(command.client_request_id)
         if self.is_refusing_requests:
             self._refuse(reply, command, RequestEvent.REFUSED_SHUTTING_DOWN)
             return
@@ -79,6 +79,8 @@
         request = self.requests.get(reply.request_key)
         if request is not None and not request.is_answered:
             self.counts.add(RequestEvent.CLIENT_LEFT)
+            if request.requested_attempt_count:
+                self.abandoned_ids.add(request.command.client_request_id, self.clock())
             self._mark_answered(request)
             self.feed(api.RequestCancelled(request.key))
 
@@ -124,6 +126,14 @@
             )
             self.fail_and_cancel(request, RequestEvent.FAILED_AT_DEADLINE)
 
+    def _check_id(self, client_request_id: bytes) -> None:
+        if client_request_id in self.requests.unanswered_client_request_ids:
+            self.counts.add(RequestEvent.REJECTED_OPEN_ID)
+            raise CommandError("the id belongs to an open request")
+        if self.abandoned_ids.contains(client_request_id, self.clock()):
+            self.counts.add(RequestEvent.REJECTED_ABANDONED_ID)
+            raise CommandError("the id belongs to a request that may have run")
+
     def _refuse(self, reply: PendingReply, command: Command, reason: RequestEvent) -> None:
         """Answer a request BUSY that the decision module never sees."""
         self.counts.add(reason)
--- a/tests/process/test_departed_clients.py
+++ b/tests/process/test_departed_clients.py
@@ -4,11 +4,13 @@
 
 import socket
 
+import hiredis
 import pytest
 
 import ingress.interface as api
 from ingress.downstream.close_reason import CloseReason
 from ingress.network.sockets import has_peer_left
+from ingress.process.request_events import RequestEvent
 from tests.support.ingress import (
     install_scripted_gateway,
     running_ingress,
@@ -87,3 +89,44 @@
             assert backend.received_commands == []
 
     run_async_test(body())
+
+
+def test_id_of_a_request_whose_client_left_is_not_executed_again() -> None:
+    """Guards against running a request twice if its id comes again after its client has left."""
+
+    async def body() -> None:
+        async with (
+            make_scripted_backend(b"") as backend,
+            running_ingress_before(backend) as (
+                ingress,
+                address,
+            ),
+        ):
+            client = await RespClient.connect(address)
+            client.writer.write(make_command("again", "order"))
+            await wait_until(lambda: backend.received_commands)
+            client.writer.close()
+            await wait_until(lambda: ingress.counts.get(RequestEvent.CLIENT_LEFT))
+            client = await RespClient.connect(address)
+            reply = await client.send_and_read_reply(make_command("again", "order"))
+            assert isinstance(reply, hiredis.ReplyError)
+            assert "may have run" in str(reply)
+            assert len(backend.received_commands) == 1
+
+    run_async_test(body())
+
+
+def test_id_of_a_request_that_was_never_forwarded_may_come_again() -> None:
+    async def body() -> None:
+        async with make_scripted_backend() as backend, running_ingress_before(backend) as (ingress, address):
+            install_scripted_gateway(ingress, None)
+            client = await RespClient.connect(address)
+            client.writer.write(make_command("again"))
+            await wait_until(lambda: ingress.requests)
+            client.writer.close()
+            await wait_until(lambda: ingress.counts.get(RequestEvent.CLIENT_LEFT))
+            install_scripted_gateway(ingress, send_to_s1)
+            client = await RespClient.connect(address)
+            assert await client.send_and_read_reply(make_command("again")) == b"again"
+
+    run_async_test(body())
