--- a/ingress/downstream/client_input.py
+++ b/ingress/downstream/client_input.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from ingress.downstream import timeouts
+from ingress.downstream.arrival_times import ArrivalTimes
 from ingress.downstream.command_buffer import CommandBuffer
 from ingress.network.buffer_budget import BufferBudget
 
@@ -10,6 +13,8 @@
 class ClientInput:
     """The buffer of received bytes, and the times from which their timeouts and deadlines run.
 
+    Commands may wait in the buffer, so each has the arrival time of its own last byte.
+
     While reading is suspended, the arrival of input is not seen.  It is then taken to have arrived when the
     socket was last known to be empty, so that no request is given more time than its client has left.
 
@@ -17,9 +22,11 @@
     """
 
     __slots__ = (
+        "_arrival_times",
         "_last_known_empty_at",
         "arrived_at",
         "buffer",
+        "command_arrived_at",
         "has_unexamined_bytes",
         "last_received_at",
         "partial_command_since",
@@ -28,6 +35,8 @@
     def __init__(self, budget: BufferBudget, now: float) -> None:
         """Create the input of a connection established at `now`; its bytes count towards `budget`."""
         self.buffer = CommandBuffer(budget)
+        self._arrival_times = ArrivalTimes(now)
+        self.command_arrived_at = now  # when the last byte of the latest taken command arrived
         self.last_received_at = now  # when the latest input was read
         self.arrived_at = now  # when the latest input arrived, at the earliest
         self.has_unexamined_bytes = False  # input has arrived since the buffer was last processed
@@ -40,9 +49,22 @@
         self.buffer.append(data)
         self.last_received_at = now
         self.arrived_at = now if self._last_known_empty_at is None else self._last_known_empty_at
+        self._arrival_times.add(len(data), self.arrived_at)
         self.has_unexamined_bytes = True
         self._last_known_empty_at = None
 
+    def take_command(self) -> list[bytes] | None:
+        """Return the arguments of the next command, or None if the command is incomplete.
+
+        Raise FrameError or hiredis.HiredisError if the command is malformed.
+        """
+        taken_before = self.buffer.taken_bytes
+        arguments = self.buffer.take_command()
+        if arguments is not None:
+            self.partial_command_since = None
+            self.command_arrived_at = self._arrival_times.take(self.buffer.taken_bytes - taken_before)
+        return arguments
+
     def record_examined(self, has_partial_command: bool) -> None:
         """Record that the buffer was processed, and whether it holds only an incomplete command now."""
         self.has_unexamined_bytes = False
@@ -76,6 +98,11 @@
         if not has_unread:
             self._last_known_empty_at = None
 
+    def resume_if_suspended(self, has_unread_input: Callable[[], bool]) -> None:
+        """Record that reading is no longer suspended, if it was; only then ask for unread input."""
+        if self.is_suspended:
+            self.resume(has_unread_input())
+
     # Timeouts
 
     def get_wait_start(self) -> float:
--- a/ingress/downstream/command_buffer.py
+++ b/ingress/downstream/command_buffer.py
@@ -34,6 +34,11 @@
     def __len__(self) -> int:
         return len(self._data)
 
+    @property
+    def taken_bytes(self) -> int:
+        """Number of bytes at the start of the buffer whose commands have been taken."""
+        return self._taken_bytes
+
     def append(self, data: bytes) -> None:
         """Append received bytes."""
         self._budget.used_bytes += len(data)
--- a/ingress/downstream/command_executor.py
+++ b/ingress/downstream/command_executor.py
@@ -5,7 +5,12 @@
 import logging
 from typing import Protocol
 
-from ingress.downstream.commands import CommandError, CommandParser, create_connection_reply
+from ingress.downstream.commands import (
+    CommandError,
+    CommandParser,
+    create_connection_reply,
+    encode_error_reply,
+)
 from ingress.downstream.request_handler import PendingReply, RequestHandler
 
 log = logging.getLogger(__name__)
@@ -69,7 +74,7 @@
         except CommandError as error:
             self._malformed_count += 1
             self._owner.log_malformed_command(str(error))
-            return b"-ERR %b\r\n" % str(error).encode()
+            return encode_error_reply(str(error))
         except Exception:
             # An exception in one request must end neither the process nor other requests of the connection.
             log.exception("request failed")
--- a/ingress/downstream/commands.py
+++ b/ingress/downstream/commands.py
@@ -59,6 +59,12 @@
     return b"$%d\r\n%b\r\n" % (len(value), value)
 
 
+def encode_error_reply(reason: str) -> bytes:
+    """Return the reply to a command that cannot be executed; its text is the reason in one line."""
+    text = reason.encode("ascii", "replace").replace(b"\r", b" ").replace(b"\n", b" ")
+    return b"-ERR %b\r\n" % text
+
+
 def create_connection_reply(verb: bytes, arguments: list[bytes]) -> bytes:
     """Return the reply to a command that concerns only the connection, such as PING.
 
--- a/ingress/downstream/connection.py
+++ b/ingress/downstream/connection.py
@@ -13,6 +13,7 @@
 from ingress.downstream.client_input import ClientInput
 from ingress.downstream.close_reason import CloseReason
 from ingress.downstream.command_executor import CommandExecutor
+from ingress.downstream.commands import encode_error_reply
 from ingress.downstream.connection_owner import ConnectionOwner
 from ingress.downstream.input_end import InputEnd
 from ingress.downstream.read_pause import ReadPause
@@ -34,8 +35,7 @@
         self.sock = sock
         self.pending_replies = ReplyQueue(self)
         self.transport: asyncio.Transport | None = None
-        # When the connection was established or its last pending reply was written.
-        self.idle_since = owner.clock()
+        self.idle_since = owner.clock()  # when it was established or its last pending reply was written
         self.input = ClientInput(owner.input_limiter.budget, self.idle_since)
         self.write_blocked_since: float | None = None  # when the write buffer became full
         self.command_executor = CommandExecutor(owner)
@@ -106,8 +106,7 @@
     def check_client_present(self) -> bool:
         """Return whether the client is still connected; if it is not, cancel its requests.
 
-        The event loop reports a close only after the input before it was read, and not while reading is
-        paused.
+        The event loop reports a close only behind the input before it, and not while reading is paused.
         """
         if self.transport is not None and has_peer_left(self.sock):
             self.transport.abort()
@@ -171,33 +170,23 @@
         """Pause or resume reading.
 
         It is paused while a large backlog waits for its turn, since the event loop reads a connection again
-        and again while input arrives.  Under back-pressure, it is paused once the input of all connections
-        uses half of its budget.  Below half, it continues: a disconnect is detected fastest by reading.
+        and again while input arrives; and under back-pressure, once half of the input's budget is used.
         """
         if self.transport is None or self.transport.is_closing():
             return
         if self.is_closing or self.input_end.is_reached:
             self.input_end.resume_discarding(self.transport)
-            return
-        if not self.owner.input_limiter.may_read(self):
+        elif self._must_pause_reading():
             self.input.suspend(self.owner.clock())
             self.read_pause.pause(self.transport)
-            return
-        if self.input.is_suspended:
-            self.input.resume(self.has_unread_input())
-        is_budget_half_used = self.owner.input_limiter.budget.is_half_used()
-        if self._is_backlog_full() or (self._is_back_pressured() and is_budget_half_used):
-            self.read_pause.pause(self.transport)
         else:
+            self.input.resume_if_suspended(self.has_unread_input)
             self.transport.resume_reading()
 
     # Commands
 
     def process_input(self, end_time: float) -> bool:
-        """Execute complete commands in the buffer until `end_time`; return whether there are more.
-
-        At least one command is executed, if back-pressure allows it.
-        """
+        """Execute at least one command, and more until `end_time`; return whether there are further ones."""
         if not self.has_backlog or not self.check_client_present():
             return False
         if self.input_end.is_searching:
@@ -214,14 +203,13 @@
         has_partial_command = False
         while not self.has_backlog and self._can_take_command():
             try:
-                arguments = self.input.buffer.take_command()
+                arguments = self.input.take_command()
             except (FrameError, hiredis.HiredisError) as error:
                 self._close_with_error(str(error), CloseReason.MALFORMED_INPUT)
                 break
             if arguments is None:
                 has_partial_command = True
                 break
-            self.input.partial_command_since = None
             self._handle_command(arguments)
             self.has_backlog = self.input_end.is_searching or (
                 time.monotonic() >= end_time and self._can_take_command()
@@ -248,7 +236,7 @@
     def _handle_command(self, arguments: list[bytes]) -> None:
         reply = self._add_pending_reply()
         self._close_after_last_command()  # before the command is executed, as its reply may be sent at once
-        error_reply = self.command_executor.execute(reply, arguments, self.input.arrived_at)
+        error_reply = self.command_executor.execute(reply, arguments, self.input.command_arrived_at)
         if error_reply is not None:
             if self.command_executor.is_malformed_limit_reached():
                 self.input_end.reach(self.input.buffer, self.command_executor.is_valid_request)
@@ -268,17 +256,14 @@
 
     def _close_after_last_command(self) -> None:
         if self.input_end.is_searched and not self.input.buffer.has_untaken_bytes():
-            self.close_reason = CloseReason.MALFORMED_INPUT
-            self.is_closing = True
+            self.close_reason, self.is_closing = CloseReason.MALFORMED_INPUT, True
 
     def _close_with_error(self, reason: str, close_reason: CloseReason) -> None:
         """Send an error after the pending replies and close, since further input cannot be parsed."""
         self.owner.log_malformed_command(reason)
-        self.close_reason = close_reason
-        self.is_closing = True
+        self.close_reason, self.is_closing = close_reason, True
         self.input.buffer.clear()
-        text = reason.encode("ascii", "replace").replace(b"\r", b" ").replace(b"\n", b" ")
-        self._add_pending_reply().answer(b"-ERR %b\r\n" % text)
+        self._add_pending_reply().answer(encode_error_reply(reason))
         self.update_reading()
 
     def _on_all_replies_written(self, transport: asyncio.Transport) -> None:
@@ -301,6 +286,11 @@
 
     # Back-pressure
 
+    def _must_pause_reading(self) -> bool:
+        limiter = self.owner.input_limiter
+        is_room_needed = self._is_back_pressured() and limiter.budget.is_half_used()
+        return not limiter.may_read(self) or self._is_backlog_full() or is_room_needed
+
     def _is_back_pressured(self) -> bool:
         """Return whether commands are held back because the pipeline or the write buffer is full."""
         return self.is_pipeline_full or self.write_blocked_since is not None
--- a/tests/downstream/test_back_pressure.py
+++ b/tests/downstream/test_back_pressure.py
@@ -164,3 +164,33 @@
             assert not ingress.listener.input_budget.used_bytes
 
     run_async_test(body())
+
+
+def test_time_behind_a_full_pipeline_counts_towards_the_deadline(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against counting a request's time from the latest input, which may have come much later."""
+    monkeypatch.setattr(connection, "MAX_PIPELINED", 1)
+
+    async def body() -> None:
+        async with (
+            make_scripted_backend(b"") as peer,
+            running_ingress(make_config(make_endpoint_entry(peer.address))) as (ingress, address),
+        ):
+            install_scripted_gateway(ingress, send_to_s1)
+            now = ingress.listener.clock()
+            monkeypatch.setattr(ingress.listener, "clock", lambda: now)
+            caller = await RespClient.connect(address)
+            caller.writer.write(make_command("first") + make_command("second", wait_ms=3000))
+            await wait_until(lambda: ingress.requests)
+            received_at = now
+            now += 0.5
+            caller.writer.write(make_command("third"))
+            used_bytes = ingress.listener.input_budget.used_bytes
+            await wait_until(lambda: ingress.listener.input_budget.used_bytes > used_bytes)
+            [first] = ingress.requests
+            ingress.request_service.fail(first.key)
+            await wait_until(lambda: len(ingress.requests) == 1)
+            [second] = ingress.requests
+            assert second.command.client_request_id == b"second"
+            assert abs(second.deadline - received_at - 3.0) < 0.01
+
+    run_async_test(body())
--- a/tests/downstream/test_client_input.py
+++ b/tests/downstream/test_client_input.py
@@ -7,6 +7,7 @@
 from ingress.downstream import timeouts
 from ingress.downstream.client_input import ClientInput
 from ingress.network.buffer_budget import BufferBudget
+from tests.support.peers import encode_resp_array
 
 
 @pytest.fixture
@@ -63,3 +64,15 @@
     assert client_input.is_overdue(overdue_at + 0.01)
     assert not client_input.is_grace_over(grace_over_at)
     assert client_input.is_grace_over(grace_over_at + 0.01)
+
+
+def test_each_command_arrives_with_its_own_last_byte(client_input: ClientInput) -> None:
+    ping = encode_resp_array(b"PING")
+    client_input.append(ping + ping[:3], 11.0)
+    client_input.append(ping[3:] + ping, 12.0)
+    client_input.append(ping, 13.0)
+    arrivals = []
+    while client_input.take_command() is not None:
+        arrivals.append(client_input.command_arrived_at)
+        client_input.buffer.drop_taken_bytes()
+    assert arrivals == [11.0, 12.0, 12.0, 13.0]
