The state of customers is bounded by memory; a full table takes no new customer

Cause: the decision module keeps a customer, 1.1 kB, for 60 to 120 s after its last request, however many there are. Change: CustomerTable holds as many as the memory of one more use of the buffers allows. Above that, customers are dropped whose buckets are full again, also the fleet's bucket of a ceiling, so that none that comes back gets units twice; while there are none, requests of new customers are rejected.

--- a/ingress/decisions/admission.py
+++ b/ingress/decisions/admission.py
@@ -3,6 +3,7 @@
 import ingress.interface as api
 from ingress.decisions.counted_use import COUNT_EPOCH_S
 from ingress.decisions.customer import Customer
+from ingress.decisions.customer_table import CustomerTable
 from ingress.decisions.peer_reports import PeerReports
 from ingress.decisions.request import PendingRequest
 from ingress.decisions.usage_counter import UsageCounter
@@ -27,33 +28,41 @@
     against this gateway's slice of the customer's quota.
     """
 
-    def __init__(self, settings: api.Settings, counter: UsageCounter, peer_reports: PeerReports) -> None:
+    def __init__(
+        self,
+        settings: api.Settings,
+        counter: UsageCounter,
+        peer_reports: PeerReports,
+        max_customers: int | None,
+    ) -> None:
         self.settings = settings
         self.counter = counter
         self.peer_reports = peer_reports
-        self.customers_by_key: dict[str, Customer] = {}
-        """The customers that have sent requests recently, by the name that requests give."""
-        self.customers_by_hash: dict[int, Customer] = {}
-        """The same customers, by the hash that identifies them in gossip messages."""
+        self.customers = CustomerTable(max_customers)
+        """The customers that have sent requests recently."""
 
     def get_or_create_customer(
         self, now: float, event: api.Request, plan: api.Plan, process_age: float
-    ) -> Customer:
+    ) -> Customer | None:
         """Return the customer of a request; create it or resize its slices if needed.
 
-        `process_age` is the age of this process in seconds.
+        Return None if the customer is new and there is no room for it.  `process_age` is the age of this
+        process in seconds.
         """
-        customer = self.customers_by_key.get(event.customer)
+        customer = self.customers.by_key.get(event.customer)
         if customer is not None:
             customer.resize_slices(now, event)
             if customer.plan is plan:
                 return customer
+        elif self.customers.is_full():
+            self._discard_unreported(self.customers.reclaim(now))
+            if self.customers.is_full():
+                return None
         # A customer that is new, or whose plan has changed, starts with new limits.
         customer = Customer(
             event, plan, now, process_age, self.counter.is_enabled, self.settings.max_request_units
         )
-        self.customers_by_key[customer.key] = customer
-        self.customers_by_hash[customer.hash] = customer
+        self.customers.add(customer)
         return customer
 
     def evict_idle(self, now: float) -> None:
@@ -61,10 +70,10 @@
 
         Their use that was not reported yet is discarded, because it is too small to matter.
         """
-        idle = [customer for customer in self.customers_by_key.values() if customer.is_evictable(now)]
-        for customer in idle:
-            del self.customers_by_key[customer.key]
-            self.customers_by_hash.pop(customer.hash, None)
+        self._discard_unreported(self.customers.evict_idle(now))
+
+    def _discard_unreported(self, customers: list[Customer]) -> None:
+        for customer in customers:
             self.counter.discard_unreported(customer)
 
     def needs_counter(self, now: float, request: PendingRequest) -> bool:
--- a/ingress/decisions/ceiling.py
+++ b/ingress/decisions/ceiling.py
@@ -32,6 +32,8 @@
 class Ceiling:
     """This gateway's slice of a ceiling, and the complete ceiling as the counter's replies show it."""
 
+    __slots__ = ("fleet_bucket", "last_count_name", "plan", "reserve", "slice")
+
     def __init__(self, plan: api.Plan, assigned_instances: int, process_age: float, now: float) -> None:
         self.plan = plan
         self.reserve = RESERVE_SHARE * max(0.0, plan.ceiling_burst - plan.burst)
--- a/ingress/decisions/customer.py
+++ b/ingress/decisions/customer.py
@@ -17,6 +17,24 @@
 class Customer:
     """One customer: its quota, its ceiling, and its requests that await a reply of the shared counter."""
 
+    __slots__ = (
+        "assigned_instances",
+        "attempts_in_flight",
+        "ceiling",
+        "concurrency_limit",
+        "counted_use",
+        "estimate",
+        "first_instance",
+        "has_undersized_slice",
+        "hash",
+        "key",
+        "last_seen_at",
+        "plan",
+        "requests_awaiting_counter",
+        "slice",
+        "total_used_units",
+    )
+
     def __init__(
         self,
         request: api.Request,
@@ -83,13 +101,18 @@
 
     def is_evictable(self, now: float) -> bool:
         """Return whether the customer is idle and its buckets are full, so that eviction loses no state."""
-        if (
-            now - self.last_seen_at <= EVICT_AFTER_S
-            or self.attempts_in_flight
-            or self.requests_awaiting_counter
-        ):
+        if now - self.last_seen_at <= EVICT_AFTER_S or self._is_in_use():
+            return False
+        return _are_full(now, self.slice, self.ceiling.slice)
+
+    def equals_new(self, now: float) -> bool:
+        """Return whether a new customer would have the same units left, so that it gets none twice."""
+        if self._is_in_use():
             return False
-        return all(bucket.has_units(now, bucket.capacity) for bucket in (self.slice, self.ceiling.slice))
+        return _are_full(now, self.slice, self.ceiling.slice, self.ceiling.fleet_bucket)
+
+    def _is_in_use(self) -> bool:
+        return bool(self.attempts_in_flight or self.requests_awaiting_counter)
 
     def peer_indices(self, settings: api.Settings) -> set[int]:
         """Return the indices of the other gateways through which the customer's requests come."""
@@ -141,3 +164,7 @@
         self.slice.refund_units(-difference)
         self.counted_use.unreported_units += difference
         self.total_used_units += difference
+
+
+def _are_full(now: float, *buckets: TokenBucket) -> bool:
+    return all(bucket.has_units(now, bucket.capacity) for bucket in buckets)
--- a/ingress/decisions/final_answers.py
+++ b/ingress/decisions/final_answers.py
@@ -2,6 +2,7 @@
 
 import ingress.interface as api
 from ingress.decisions.action_sink import ActionSink
+from ingress.decisions.customer_table import RECLAIM_PERIOD_S
 from ingress.decisions.request import PendingRequest
 from ingress.decisions.usage_counter import UsageCounter
 
@@ -31,6 +32,11 @@
         else:
             self.sink.emit(api.Fail(request.id))
 
+    def reject_new_customer(self, event: api.Request) -> None:
+        """Reject a request for whose customer there is no room; it can be repeated when there may be."""
+        retry_after = RECLAIM_PERIOD_S if self.settings.sends_retry_after else 0.0
+        self.sink.emit(api.Reject(event.id, retry_after))
+
     def _retry_after(self, request: PendingRequest) -> float:
         """Return the value of Retry-After (s): the time in which the quota refills by the request's units.
 
--- a/ingress/decisions/gateway.py
+++ b/ingress/decisions/gateway.py
@@ -28,8 +28,10 @@
 class Gateway:
     """The decisions of one gateway: `handle` takes an event and returns the actions that follow from it."""
 
-    def __init__(self, settings: api.Settings, seed: int) -> None:
+    def __init__(self, settings: api.Settings, seed: int, max_customers: int | None = None) -> None:
+        """Create a gateway that keeps state of `max_customers` at most; None sets no limit."""
         self.settings = settings
+        self.max_customers = max_customers
         self.rng = random.Random(seed)
         """The only source of randomness, which all parts of the gateway use."""
         self.sink = ActionSink()
@@ -64,7 +66,7 @@
     def _build_quota(self) -> None:
         self.peer_reports = PeerReports(report_period(self.settings))
         self.counter = UsageCounter(self.settings, self.rng, uses_counter(self.settings), self.sink.emit)
-        self.admission = Admission(self.settings, self.counter, self.peer_reports)
+        self.admission = Admission(self.settings, self.counter, self.peer_reports, self.max_customers)
 
     def _build_attempts(self) -> None:
         self.final_answers = FinalAnswers(self.settings, self.requests, self.counter, self.sink)
--- a/ingress/decisions/gossip_exchange.py
+++ b/ingress/decisions/gossip_exchange.py
@@ -24,13 +24,13 @@
         for customer_hash, units in self.peer_reports.record_report(
             event, now, self.process_start.incarnation
         ):
-            customer = self.admission.customers_by_hash.get(customer_hash)
+            customer = self.admission.customers.by_hash.get(customer_hash)
             if customer is not None:
                 customer.estimate.record_peer_use(now, units)
 
     def send_report(self) -> None:
         """Send the total use of as many customers as fit into one message, the most unreported first."""
-        customers = [c for c in self.admission.customers_by_key.values() if c.counted_use.unreported_units]
+        customers = [c for c in self.admission.customers.by_key.values() if c.counted_use.unreported_units]
         customers.sort(key=lambda customer: -abs(customer.counted_use.unreported_units))
         totals = ((customer.hash, customer.total_used_units) for customer in customers)
         report = encode_report(self.process_start.incarnation, totals)
--- a/ingress/decisions/quota_estimate.py
+++ b/ingress/decisions/quota_estimate.py
@@ -17,6 +17,18 @@
     last report showed.
     """
 
+    __slots__ = (
+        "capacity",
+        "has_undersized_slice",
+        "level_at_update",
+        "lifetime",
+        "own_use",
+        "peer_use_rate",
+        "rate",
+        "reported_at",
+        "updated_at",
+    )
+
     def __init__(self, plan: api.Plan, now: float, has_undersized_slice: bool) -> None:
         self.rate = plan.rate
         """Units per second by which the quota refills."""
--- a/ingress/decisions/request_intake.py
+++ b/ingress/decisions/request_intake.py
@@ -40,17 +40,22 @@
     def receive_request(self, now: float, event: api.Request) -> None:
         """Receive a request and decide on it, immediately or after a reply of the shared counter."""
         request = self._create_pending_request(now, event)
-        if request.is_too_late and not request.request_class.late_weight_share:
+        if request is None:
+            self.final_answers.reject_new_customer(event)
+        elif request.is_too_late and not request.request_class.late_weight_share:
             self.final_answers.finish_request(request)
         elif self._must_await_counter(now, request):
             request.customer.requests_awaiting_counter.append(request)
         else:
             self.request_decision.decide(now, request)
 
-    def _create_pending_request(self, now: float, event: api.Request) -> PendingRequest:
+    def _create_pending_request(self, now: float, event: api.Request) -> PendingRequest | None:
+        """Register a request; return None if there is no room for the state of its customer."""
         plan = self.plans_by_name[event.plan]
         request_class = self.classes_by_name[event.request_class]
         customer = self.admission.get_or_create_customer(now, event, plan, self.process_start.age(now))
+        if customer is None:
+            return None
         request = PendingRequest(event, request_class, customer, now)
         self.requests[event.id] = request
         customer.last_seen_at = now  # set last, as `PendingRequest` reads the time of the previous request
--- a/ingress/process/configuration.py
+++ b/ingress/process/configuration.py
@@ -17,7 +17,9 @@
 
 RESERVED_DESCRIPTORS = 48  # file descriptors for standard streams, event loop, counter and discovery
 MIN_SOCKETS = 64  # smallest file descriptor limit that the program accepts
-PROGRAM_MEMORY_MB = 26  # memory of the program before it serves, and of the decision module's customer data
+PROGRAM_MEMORY_MB = 26  # memory of the program before it serves
+CUSTOMER_BYTES = 1024  # state of one customer in the decision module
+MIN_CUSTOMERS = 1000  # the decision module keeps state of as many, however little memory there is
 
 
 class ConfigurationError(IngressError):
@@ -57,6 +59,8 @@
 
     The uses are requests in flight, unprocessed client input, and partial backend replies.
     """
+    max_customers: int
+    """Maximum number of customers of whom the decision module keeps state."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -92,6 +96,7 @@
         backend_idle_timeout_s=_get_positive(request_limits, "keepalive-s", 15.0),
         max_in_flight=int(_get_positive(request_limits, "max-open", 20000)),
         max_buffered_bytes=process_limits.max_buffered_bytes,
+        max_customers=max(MIN_CUSTOMERS, process_limits.max_buffered_bytes // CUSTOMER_BYTES),
     )
 
 
--- a/ingress/process/ingress.py
+++ b/ingress/process/ingress.py
@@ -47,7 +47,7 @@
         self.settings = config.settings
         self.clock = clock or unix_clock()
         self.loop = asyncio.get_running_loop()
-        self.gateway = Gateway(self.settings, config.seed)
+        self.gateway = Gateway(self.settings, config.seed, config.max_customers)
         self.rng = random.Random(config.seed)  # for the backoff of discovery
         self.feed = EventQueue(self._handle_event).feed  # hands an event to the decision module
         self.is_closed = False
--- a/tests/decisions/test_correction_lease.py
+++ b/tests/decisions/test_correction_lease.py
@@ -110,7 +110,7 @@
     unreported_units = sum(
         get_customer(harness).counted_use.unreported_units
         for harness in fleet.harnesses
-        if "c" in harness.gateway.admission.customers_by_key
+        if "c" in harness.gateway.admission.customers.by_key
     )
     return (
         BASIC_PLAN.burst
--- a/tests/decisions/test_count_sampling.py
+++ b/tests/decisions/test_count_sampling.py
@@ -72,7 +72,7 @@
     sampled_count = 0
     for n in range(400):
         harness.deliver_request(assigned_instances=100, units=2.0, customer=f"c{n}")
-        customer = harness.gateway.admission.customers_by_key[f"c{n}"]
+        customer = harness.gateway.admission.customers.by_key[f"c{n}"]
         customer.counted_use.has_call_in_flight = False
         customer.requests_awaiting_counter = []
         customer.slice.level = level
--- a/tests/decisions/test_customer.py
+++ b/tests/decisions/test_customer.py
@@ -27,8 +27,8 @@
     for sent in find_sent_attempts(list(harness.actions)):
         harness.end_attempt(sent, Outcome.OK, 0.0)
     harness.deliver_event(61.0, TimerFired(0))
-    assert not harness.gateway.admission.customers_by_key
-    assert not harness.gateway.admission.customers_by_hash
+    assert not harness.gateway.admission.customers.by_key
+    assert not harness.gateway.admission.customers.by_hash
 
 
 def test_evicted_customer_has_no_use_left_to_report() -> None:
@@ -39,7 +39,7 @@
         harness.end_attempt(sent)
     assert len(harness.gateway.counter.calls.customers_to_report) == 50
     harness.deliver_event(100.0, TimerFired(0))
-    assert not harness.gateway.admission.customers_by_key
+    assert not harness.gateway.admission.customers.by_key
     assert not harness.gateway.counter.calls.customers_to_report
 
 
--- a/tests/decisions/test_slow_start.py
+++ b/tests/decisions/test_slow_start.py
@@ -171,7 +171,7 @@
         harness.deliver_request()
         harness.gateway.balancer.slow_start.answer_rate = 6.0
         harness.gateway.answer_times.mean_request_units = 1.0
-        customer = harness.gateway.admission.customers_by_key["c"]
+        customer = harness.gateway.admission.customers.by_key["c"]
         request = PendingRequest(
             Request("r", "read", "basic", "c", 4.0), IDEMPOTENT_CLASS, customer, harness.now
         )
--- a/tests/support/gateway.py
+++ b/tests/support/gateway.py
@@ -51,9 +51,14 @@
 class GatewayHarness:
     """Harness that drives a gateway under test, and records the time and all actions so far."""
 
-    def __init__(self, settings: Settings = SETTINGS, backends: Iterable[Backend] = BACKENDS) -> None:
+    def __init__(
+        self,
+        settings: Settings = SETTINGS,
+        backends: Iterable[Backend] = BACKENDS,
+        max_customers: int | None = None,
+    ) -> None:
         self.now = 100.0
-        self.gateway = Gateway(settings, 1)
+        self.gateway = Gateway(settings, 1, max_customers)
         self.request_count = 0  # requests so far; the id of the latest is `r` followed by this number
         self.actions: list[Action] = []
         self.deliver_event(0.0, EndpointUpdate(EndpointUpdateKind.RESTORED, tuple(backends)))
--- a/tests/support/quota.py
+++ b/tests/support/quota.py
@@ -49,7 +49,7 @@
 
 def get_customer(harness: GatewayHarness, customer_key: str = "c") -> Customer:
     """Return the gateway's state of a customer."""
-    return harness.gateway.admission.customers_by_key[customer_key]
+    return harness.gateway.admission.customers.by_key[customer_key]
 
 
 def mark_counter_overloaded(harness: GatewayHarness) -> None:
