All connections share one RESP parser, whose buffer each kept for its largest command

Cause: each client and backend connection had a hiredis reader, which keeps a buffer of up to twice its largest frame until the next one. 600 connections that had sent one command of 64 kB held some 50 MB that no budget counted. Change: frames are complete before they are parsed, so one parser serves all connections; what is left of a malformed frame is dropped with it.

--- a/ingress/downstream/client_input.py
+++ b/ingress/downstream/client_input.py
@@ -56,7 +56,7 @@
     def take_command(self) -> list[bytes] | None:
         """Return the arguments of the next command, or None if the command is incomplete.
 
-        Raise FrameError or hiredis.HiredisError if the command is malformed.
+        Raise FrameError if the command is malformed.
         """
         taken_before = self.buffer.taken_bytes
         arguments = self.buffer.take_command()
--- a/ingress/downstream/command_buffer.py
+++ b/ingress/downstream/command_buffer.py
@@ -5,8 +5,7 @@
 from collections.abc import Callable, Iterator
 from typing import cast
 
-import hiredis
-
+from ingress.network.array_parser import SHARED_PARSER
 from ingress.network.buffer_budget import BufferBudget
 from ingress.network.frames import FrameError, find_array_end
 
@@ -22,13 +21,12 @@
     `drop_taken_bytes` later removes the bytes of all returned commands in one operation.
     """
 
-    __slots__ = ("_budget", "_data", "_reader", "_taken_bytes")
+    __slots__ = ("_budget", "_data", "_taken_bytes")
 
     def __init__(self, budget: BufferBudget) -> None:
         """Create an empty buffer whose bytes count towards `budget`."""
         self._budget = budget
         self._data = bytearray()
-        self._reader = hiredis.Reader()
         self._taken_bytes = 0  # number of bytes at the start of `_data` whose commands have been taken
 
     def __len__(self) -> int:
@@ -51,8 +49,8 @@
     def take_command(self) -> list[bytes] | None:
         """Return the arguments of the next command, or None if the command is incomplete.
 
-        Raise FrameError or hiredis.HiredisError if the command is malformed.  The bytes after a malformed
-        command cannot be interpreted either.
+        Raise FrameError if the command is malformed.  The bytes after a malformed command cannot be
+        interpreted either.
         """
         end = self._find_command_end(self._taken_bytes)
         if end < 0:
@@ -75,7 +73,7 @@
                     end = command_end
                 position = command_end
                 yield
-        except (FrameError, hiredis.HiredisError):
+        except FrameError:
             pass  # the bytes after a malformed command cannot be interpreted
         self._budget.used_bytes -= len(self._data) - end
         del self._data[end:]
@@ -92,8 +90,7 @@
         return find_array_end(self._data, start, MAX_ARGUMENTS, MAX_ARGUMENT_BYTES, MAX_COMMAND_BYTES)
 
     def _parse_command(self, start: int, end: int) -> list[bytes]:
-        self._reader.feed(bytes(self._data[start:end]))
-        return cast(list[bytes], self._reader.gets())
+        return cast(list[bytes], SHARED_PARSER.parse(bytes(self._data[start:end])))
 
     def _drop(self, size: int) -> None:
         del self._data[:size]
--- a/ingress/downstream/connection.py
+++ b/ingress/downstream/connection.py
@@ -7,8 +7,6 @@
 import time
 from typing import cast
 
-import hiredis
-
 from ingress.downstream import timeouts
 from ingress.downstream.client_input import ClientInput
 from ingress.downstream.close_reason import CloseReason
@@ -204,7 +202,7 @@
         while not self.has_backlog and self._can_take_command():
             try:
                 arguments = self.input.take_command()
-            except (FrameError, hiredis.HiredisError) as error:
+            except FrameError as error:
                 self._close_with_error(str(error), CloseReason.MALFORMED_INPUT)
                 break
             if arguments is None:
--- a/ingress/upstream/connection.py
+++ b/ingress/upstream/connection.py
@@ -7,8 +7,6 @@
 import socket
 from typing import Protocol, cast
 
-import hiredis
-
 from ingress.network.addresses import Address
 from ingress.network.buffer_budget import BufferBudget
 from ingress.network.frames import INCOMPLETE, FrameError
@@ -76,7 +74,6 @@
         self.endpoint = endpoint
         self.address = address  # address that was connected to; the endpoint's address may change later
         self.sock = sock
-        self.parser = hiredis.Reader()
         self.matcher = ReplyMatcher()
         self.transport: asyncio.Transport | None = None
         self.attempt: Attempt | None = None  # attempt that waits for its reply
@@ -201,7 +198,7 @@
             frame = self._drop_from_buffer(end)
             if is_held and is_ping_error(frame):
                 return self.matcher.confirm_held_reply()
-            reply = self.matcher.match(parse_reply(frame, self.parser))
+            reply = self.matcher.match(parse_reply(frame))
             if reply is not None:
                 return reply
             if not is_held:
--- a/ingress/upstream/replies.py
+++ b/ingress/upstream/replies.py
@@ -10,9 +10,8 @@
 from dataclasses import dataclass
 from math import inf
 
-import hiredis
-
 from ingress.interface import Outcome
+from ingress.network.array_parser import SHARED_PARSER
 from ingress.network.frames import INCOMPLETE, FrameError, find_array_end
 from ingress.settings_codec import LOAD_REPORT_FIELDS
 
@@ -69,13 +68,13 @@
     return frame[:1] == b"-" and _parse_error_line(frame) is None
 
 
-def parse_reply(frame: bytes, parser: hiredis.Reader) -> BackendReply:
-    """Interpret one complete reply with the parser of its connection.
+def parse_reply(frame: bytes) -> BackendReply:
+    """Interpret one complete reply.
 
     Raise MalformedReplyError if the frame is not a valid reply.
     """
     if frame[:1] == b"*":
-        return _parse_value_reply(frame, parser)
+        return _parse_value_reply(frame)
     reply = _parse_error_line(frame)
     if reply is None:
         raise MalformedReplyError(f"{frame[:MAX_LOGGED_BYTES]!r}")
@@ -92,11 +91,10 @@
     return None
 
 
-def _parse_value_reply(frame: bytes, parser: hiredis.Reader) -> BackendReply:
+def _parse_value_reply(frame: bytes) -> BackendReply:
     try:
-        parser.feed(frame)
-        items = parser.gets()
-    except hiredis.HiredisError as error:
+        items = SHARED_PARSER.parse(frame)
+    except FrameError as error:
         raise MalformedReplyError(str(error)) from error
     if len(items) != REPLY_ITEM_COUNT or items[0] is None:
         raise MalformedReplyError("expected a value, figures and a load report")
--- a/tests/upstream/test_replies.py
+++ b/tests/upstream/test_replies.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import hiredis
 import pytest
 
 from ingress.interface import Outcome
@@ -60,7 +59,7 @@
     ],
 )
 def test_complete_reply_is_interpreted(frame: bytes, reply: BackendReply) -> None:
-    assert parse_reply(frame, hiredis.Reader()) == reply
+    assert parse_reply(frame) == reply
 
 
 @pytest.mark.parametrize(
@@ -76,4 +75,4 @@
 )
 def test_complete_frame_that_is_no_reply_raises_an_error(frame: bytes) -> None:
     with pytest.raises(MalformedReplyError):
-        parse_reply(frame, hiredis.Reader())
+        parse_reply(frame)
