Above the input's limit, usual clients are read on, and no read brings more than it must

Cause: while reading is suspended, one connection at a time was read, so usual clients waited in a round with all others, and each read looked at all connections. Reads had the size that the event loop chose, 256,000 bytes: each one brought the beginning of a further command that stayed, so the memory crept up; new connections were read once in any case. Change: connections are read into one buffer of our own, 64 KiB, and 1 KiB while reading is suspended. Connections that hold no input stay readable then and connections are accepted, up to one command above the limit. While reading stays suspended only the connection that is read next is updated.

--- a/ingress/downstream/connection.py
+++ b/ingress/downstream/connection.py
@@ -22,10 +22,10 @@
 from ingress.network.sockets import has_peer_left, has_unread_bytes
 
 MAX_PIPELINED = 64  # unanswered commands of a connection; at this number, no further commands are taken
-MAX_BACKLOG_BYTES = 64 * 1024  # unprocessed input of a connection from which it is not read further
+MAX_BACKLOG_BYTES = 1024 * 1024  # unprocessed input of a connection from which it is not read further
 
 
-class ClientConnection(asyncio.Protocol):
+class ClientConnection(asyncio.BufferedProtocol):
     """The asyncio protocol of one client connection."""
 
     def __init__(self, owner: ConnectionOwner[ClientConnection], sock: socket.socket) -> None:
@@ -51,11 +51,16 @@
         self.transport = cast(asyncio.Transport, transport)  # uvloop has its own transport class
         self.idle_since = self.owner.clock()
         self.owner.mark_new(self)
-        if not self.owner.input_limiter.may_read(self):
-            # Deferred, because the transport starts to read only after this callback.
-            self.owner.loop.call_soon(self.update_reading)
 
-    def data_received(self, data: bytes) -> None:
+    def get_buffer(self, _size_hint: int) -> memoryview:
+        """Return the memory for the next read, which is small while the memory for input is short."""
+        return self.owner.read_buffer.get(is_small=self.owner.input_limiter.must_read_little(self))
+
+    def buffer_updated(self, size: int) -> None:
+        """Process the `size` bytes that were read."""
+        self._receive(self.owner.read_buffer.copy(size))
+
+    def _receive(self, data: bytes) -> None:
         """Buffer received input, and have the commands that it completes executed soon."""
         if self.is_closing or self.input_end.is_reached:
             self.input_end.discard(len(data), self.transport)
@@ -63,10 +68,9 @@
         self.input.append(data, self.owner.clock())
         if not self._is_back_pressured():
             self._schedule_processing()
-        if self._is_back_pressured() or self._is_backlog_full():
+        if self._must_pause_reading():
             self.update_reading()
-        if self.owner.input_limiter.must_act():
-            self.owner.input_limiter.enforce()
+        self.owner.input_limiter.on_input(self)
 
     def pause_writing(self) -> None:
         """Take no further commands while the write buffer is full because the client reads too slowly."""
@@ -167,8 +171,8 @@
     def update_reading(self) -> None:
         """Pause or resume reading.
 
-        It is paused while a large backlog waits for its turn, since the event loop reads a connection again
-        and again while input arrives; and under back-pressure, once half of the input's budget is used.
+        It is paused while the connection holds a large backlog, and while it holds any input that waits once
+        half of the input's budget is used.  Otherwise it goes on, as a close is seen only behind the input.
         """
         if self.transport is None or self.transport.is_closing():
             return
@@ -286,13 +290,11 @@
 
     def _must_pause_reading(self) -> bool:
         limiter = self.owner.input_limiter
-        is_room_needed = self._is_back_pressured() and limiter.budget.is_half_used()
-        return not limiter.may_read(self) or self._is_backlog_full() or is_room_needed
+        is_backlog_full = self.has_backlog and len(self.input.buffer) > MAX_BACKLOG_BYTES
+        is_waiting = self.has_backlog or self._is_back_pressured()
+        is_room_needed = is_waiting and limiter.budget.is_half_used()
+        return is_backlog_full or is_room_needed or not limiter.may_read(self)
 
     def _is_back_pressured(self) -> bool:
         """Return whether commands are held back because the pipeline or the write buffer is full."""
         return self.is_pipeline_full or self.write_blocked_since is not None
-
-    def _is_backlog_full(self) -> bool:
-        """Return whether so much input waits for its turn that no more is read."""
-        return self.has_backlog and len(self.input.buffer) > MAX_BACKLOG_BYTES
--- a/ingress/downstream/connection_owner.py
+++ b/ingress/downstream/connection_owner.py
@@ -8,6 +8,7 @@
 from ingress.downstream.commands import CommandParser
 from ingress.downstream.input_limiter import InputLimiter
 from ingress.downstream.input_scheduler import InputScheduler
+from ingress.downstream.read_buffer import ReadBuffer
 from ingress.downstream.request_handler import RequestHandler
 from ingress.network.clock import Clock
 
@@ -22,6 +23,7 @@
     command_parser: CommandParser
     handler: RequestHandler
     input_limiter: InputLimiter
+    read_buffer: ReadBuffer
     input_scheduler: InputScheduler
     is_draining: bool
 
--- a/ingress/downstream/input_limiter.py
+++ b/ingress/downstream/input_limiter.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import logging
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Collection, Iterable
 from typing import Protocol
 
 from ingress.downstream.client_input import ClientInput
@@ -49,7 +49,8 @@
     clients have been silent for the longest time.  While the rest exceeds the limit, reading is suspended:
     replies make room for the complete commands, and one connection at a time is read, the one whose input has
     waited for the longest time, so that the incomplete commands whose rest has already arrived come to their
-    ends.
+    ends.  Connections without any unprocessed input are still read, a little at a time, so that usual clients
+    do not wait for those that fill the memory; only one command above the limit they wait too.
     """
 
     def __init__(
@@ -62,8 +63,7 @@
     ) -> None:
         """Create a limiter for `connections`, a collection that its owner keeps up to date.
 
-        `clock` is the clock of their times; `on_resumed` is called when reading is no longer suspended.
-        While it is, no connection may be accepted, since a new transport reads once before it can be paused.
+        `clock` is the clock of their times; `on_resumed` is called when connections may be accepted again.
         """
         self.budget = budget
         self.is_suspended = False
@@ -71,34 +71,59 @@
         self._loop = loop
         self._clock = clock
         self._on_resumed = on_resumed
-        self._reader: LimitedConnection | None = None  # the only connection that is read while suspended
+        self._reader: LimitedConnection | None = None  # read without restriction while suspended
+        self._was_overfull = False
         self._check_timer: asyncio.TimerHandle | None = None
         self._suspension_log = RateLimitedLog(log, MAX_LOGGED_SUSPENSIONS)
 
+    @property
+    def is_overfull(self) -> bool:
+        """Whether the limit is exceeded by more than one command, so that no connection may be accepted."""
+        return self.is_suspended and self.budget.used_bytes > self.budget.max_bytes + MAX_COMMAND_BYTES
+
     def may_read(self, connection: LimitedConnection) -> bool:
         """Return whether the limit allows to read from the connection."""
-        return not self.is_suspended or connection is self._reader
+        if not self.is_suspended or connection is self._reader:
+            return True
+        return not self.is_overfull and not connection.input.buffer
+
+    def must_read_little(self, connection: LimitedConnection) -> bool:
+        """Return whether only a little may be read from the connection at once.
 
-    def must_act(self) -> bool:
-        """Return whether `enforce` has to be called now that input has arrived."""
-        return self.is_suspended or self.budget.is_exceeded()
+        Far above the limit this holds for the only connection that is read, too: what is read behind the end
+        of its command would remain.
+        """
+        return self.is_suspended and (connection is not self._reader or self.is_overfull)
+
+    def on_input(self, connection: LimitedConnection) -> None:
+        """Keep the limit after input of the connection has been buffered."""
+        if self.is_suspended and connection is not self._reader and self.is_overfull == self._was_overfull:
+            connection.update_reading()
+        elif self.is_suspended or self.budget.is_exceeded():
+            self.enforce()
 
     def enforce(self) -> None:
         """Bring the buffered input within the limit, or suspend reading until it is."""
-        was_suspended = self.is_suspended
+        was_suspended, was_overfull, previous_reader = self.is_suspended, self._was_overfull, self._reader
         self._reject_stalled_commands()
         self.is_suspended = self.budget.is_exceeded()
         self._reader = self._find_reader() if self.is_suspended else None
+        self._was_overfull = self.is_overfull
         if self.is_suspended and not was_suspended:
             self._suspension_log.warning("client input suspended buffered_bytes=%d", self.budget.used_bytes)
-        if self.is_suspended or was_suspended:
-            for connection in list(self._connections):
-                connection.update_reading()
-        if was_suspended and not self.is_suspended:
+        if self.is_suspended != was_suspended or self._was_overfull != was_overfull:
+            self._update_reading(self._connections)
+        else:
+            self._update_reading(reader for reader in (previous_reader, self._reader) if reader is not None)
+        if was_overfull and not self._was_overfull:
             self._on_resumed()
         if self.is_suspended and self._check_timer is None:
             self._check_timer = self._loop.call_later(CHECK_INTERVAL_S, self._check)
 
+    def _update_reading(self, connections: Iterable[LimitedConnection]) -> None:
+        for connection in list(connections):
+            connection.update_reading()
+
     def close(self) -> None:
         """Stop the checks."""
         if self._check_timer is not None:
@@ -129,7 +154,7 @@
         """
         partial_bytes = sum(len(connection.input.buffer) for connection in self._find_partial())
         has_complete_commands = self.budget.used_bytes > partial_bytes
-        if has_complete_commands and self.budget.used_bytes > self.budget.max_bytes + MAX_COMMAND_BYTES:
+        if has_complete_commands and self.is_overfull:
             return None
         candidates = [connection for connection in self._connections if connection.takes_input()]
         candidates.sort(key=_get_wait_start)
--- a/ingress/downstream/listener.py
+++ b/ingress/downstream/listener.py
@@ -16,6 +16,7 @@
 from ingress.downstream.idle_connections import IdleConnections
 from ingress.downstream.input_limiter import InputLimiter
 from ingress.downstream.input_scheduler import InputScheduler
+from ingress.downstream.read_buffer import ReadBuffer
 from ingress.downstream.request_handler import RequestHandler
 from ingress.interface import Settings
 from ingress.network.addresses import Address
@@ -64,6 +65,7 @@
         self.input_limiter = InputLimiter(
             self.input_budget, self.connections, self.loop, clock, self._resume_accepting
         )
+        self.read_buffer = ReadBuffer()
         self.input_scheduler = InputScheduler(self.loop)
         self.sweep_timer = self.loop.call_later(SWEEP_INTERVAL_S, self._sweep)
         self.accept_tasks: set[asyncio.Task[Any]] = set()
@@ -147,7 +149,7 @@
     def _accept_batch(self) -> bool:
         """Accept a batch of connections; return whether more may be in the backlog."""
         for _ in range(MAX_ACCEPTS_PER_BATCH):
-            if self.input_limiter.is_suspended:
+            if self.input_limiter.is_overfull:
                 self._pause_accepting()
                 return False
             if len(self.connections) >= self.max_connections:
--- a/tests/downstream/test_fair_processing.py
+++ b/tests/downstream/test_fair_processing.py
@@ -9,11 +9,13 @@
 import ingress.interface as api
 from ingress.downstream import command_executor, connection
 from ingress.downstream.command_executor import CommandExecutor
+from ingress.downstream.read_buffer import READ_BYTES
 from ingress.downstream.request_handler import PendingReply
 from tests.support.ingress import install_scripted_gateway, running_ingress
 from tests.support.peers import RespClient, encode_resp_array, make_command, make_config, run_async_test
 
 PING = encode_resp_array(b"PING")
+MAX_BACKLOG_BYTES = 64 * 1024
 FLOOD_COUNT = 60_000  # commands of more than one read
 
 
@@ -58,8 +60,9 @@
     run_async_test(body())
 
 
-def test_input_behind_a_backlog_stays_unread() -> None:
+def test_input_behind_a_backlog_stays_unread(monkeypatch: pytest.MonkeyPatch) -> None:
     """Guards against reading from one connection for as long as its client sends."""
+    monkeypatch.setattr(connection, "MAX_BACKLOG_BYTES", MAX_BACKLOG_BYTES)
 
     async def body() -> None:
         async with running_ingress(make_config()) as (ingress, address):
@@ -77,8 +80,7 @@
             for _ in range(FLOOD_COUNT):
                 await flooder.read_reply()
             task.cancel()
-            read_bytes = 256_000  # the event loop reads at most this much at once
-            assert most_buffered <= connection.MAX_BACKLOG_BYTES + read_bytes
+            assert most_buffered <= MAX_BACKLOG_BYTES + READ_BYTES
 
     run_async_test(body())
 
--- a/tests/downstream/test_input_limiter.py
+++ b/tests/downstream/test_input_limiter.py
@@ -11,6 +11,7 @@
 
 from ingress.downstream import connection, input_limiter, timeouts
 from ingress.downstream.connection import ClientConnection
+from ingress.downstream.read_buffer import READ_BYTES, SMALL_READ_BYTES
 from ingress.process.ingress import Ingress
 from tests.support.ingress import (
     running_ingress_before,
@@ -21,6 +22,7 @@
     RespClient,
     ScriptedServer,
     Writer,
+    encode_resp_array,
     encode_value_reply,
     make_command,
     make_scripted_backend,
@@ -125,6 +127,44 @@
     run_async_test(body())
 
 
+def test_small_commands_of_other_clients_are_read_while_reading_is_suspended(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against usual clients that wait, also to be accepted, for those that fill the memory."""
+    monkeypatch.setattr(connection, "MAX_PIPELINED", 4)
+    ping = encode_resp_array(b"PING")
+
+    async def body() -> None:
+        gate = asyncio.Event()
+        async with make_gated_backend(gate) as peer, running_ingress_before(peer) as (ingress, address):
+            ingress.listener.input_budget.max_bytes = 3000
+            usual = await RespClient.connect(address)
+            large = await RespClient.connect(address)
+            large.writer.write(make_commands(0, 50))
+            await wait_until(lambda: ingress.listener.input_limiter.is_suspended)
+            assert await usual.send_and_read_reply(ping) == b"PONG"
+            accepted = await RespClient.connect(address)
+            assert await accepted.send_and_read_reply(ping) == b"PONG"
+            gate.set()
+            assert await read_replies(large, 50) == [b"%d" % number for number in range(50)]
+
+    run_async_test(body())
+
+
+def test_only_a_little_is_read_at_once_above_the_input_budget() -> None:
+    """Guards against memory that grows by a whole read for each connection that is read."""
+
+    async def body() -> None:
+        async with make_scripted_backend() as peer, running_ingress_before(peer) as (ingress, address):
+            await connect_and_send(ingress, address, PARTIAL_COMMAND)
+            [client_connection] = ingress.listener.connections
+            assert len(client_connection.get_buffer(-1)) == READ_BYTES
+            ingress.listener.input_limiter.is_suspended = True
+            assert len(client_connection.get_buffer(-1)) == SMALL_READ_BYTES
+
+    run_async_test(body())
+
+
 def test_incomplete_commands_whose_rest_has_arrived_are_read_to_their_ends_above_the_budget() -> None:
     """Guards against rejecting a command, and losing those behind it, that lie complete in the socket."""
 
