A field list has 32 fields at most

Cause: the field list was split whatever its length; eight names have a meaning. Change: more than 32 fields are an error, found by counting separators. Evidence: two cases of test_commands fail on the text before.

--- a/ingress/downstream/commands.py
+++ b/ingress/downstream/commands.py
@@ -14,6 +14,7 @@
 INTEGER_PATTERN = re.compile(r"[0-9]{1,9}")
 DECIMAL_PATTERN = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?")
 REQUIRED_FIELDS = ("c", "t", "d")
+MAX_FIELDS = 32  # four times as many as there are; bounds the time that a field list takes
 OK_REPLY = b"+OK\r\n"
 PONG_REPLY = b"+PONG\r\n"
 
@@ -156,6 +157,8 @@
 
 def _parse_fields(text: bytes) -> dict[str, str]:
     """Return the fields of a comma-separated list of `name=value` pairs."""
+    if text.count(b",") >= MAX_FIELDS:
+        raise CommandError("too many fields")
     try:
         pairs = [pair.split("=", 1) for pair in text.decode("ascii").split(",")]
         fields = dict(pairs)
--- a/tests/downstream/test_commands.py
+++ b/tests/downstream/test_commands.py
@@ -7,7 +7,7 @@
 import hiredis
 import pytest
 
-from ingress.downstream.commands import Command, CommandParser
+from ingress.downstream.commands import MAX_FIELDS, Command, CommandParser
 from tests.support.ingress import running_ingress
 from tests.support.peers import RespClient, encode_resp_array, make_command, make_config, run_async_test
 
@@ -39,6 +39,8 @@
         (make_command(class_name="read").replace(b"c=read", b"c=what"), "unknown class"),
         (make_command().replace(b"t=basic", b"t=biscu"), "unknown plan"),
         (make_command(wait_ms=0).replace(b"d=0", b"d=x"), "d"),
+        (make_command(extra_fields="".join(f",{n}=" for n in range(MAX_FIELDS))), "too many fields"),
+        (make_command(extra_fields="," * 40), "too many fields"),
         (make_command().replace(b"units=1", b"units=x"), "units"),
         (make_command().replace(b"units=1", b"units=0"), "units"),
         (make_command().replace(b"spread=1", b"spread=_"), "spread"),
