--- a/tests/process/test_departed_clients.py
+++ b/tests/process/test_departed_clients.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import asyncio
 import socket
 
 import hiredis
 import pytest
 
 import ingress.interface as api
+from ingress.downstream import connection
 from ingress.downstream.close_reason import CloseReason
 from ingress.network.sockets import has_peer_left
 from ingress.process.request_events import RequestEvent
@@ -130,3 +132,34 @@
             assert await client.send_and_read_reply(make_command("again")) == b"again"
 
     run_async_test(body())
+
+
+def test_waiting_requests_are_not_executed_after_a_close_behind_more_than_the_kernel_holds(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against executing what waits in the buffer when a reply shows that the client has closed."""
+    monkeypatch.setattr(connection, "MAX_PIPELINED", 1)
+
+    async def body() -> None:
+        async with (
+            make_scripted_backend(b"") as backend,
+            running_ingress_before(backend) as (
+                ingress,
+                address,
+            ),
+        ):
+            listener = ingress.listener
+            listener.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            listener.input_budget.max_bytes = 3000
+            client = await RespClient.connect(address)
+            client.writer.write(b"".join(make_command(f"{number}", wait_ms=4000) for number in range(2000)))
+            await wait_until(lambda: backend.received_commands and listener.input_budget.is_half_used())
+            client.writer.close()
+            await asyncio.sleep(0)  # closes the socket, whose data does not fit into the kernel's buffer
+            [first] = ingress.requests
+            ingress.request_service.fail(first.key)
+            await wait_until(lambda: ingress.counts.get(CloseReason.CLIENT_LEFT))
+            assert not ingress.requests
+            assert len(backend.received_commands) == 1
+
+    run_async_test(body())
