A backend whose address a change of the list gives to another one is removed

Between the change that shows the new backend and the one that removes the old one, attempts for the old id went to the new process, in another cell perhaps, where a keyed request that may have run at the old one is not recognized and runs again; open connections of the old id were used too. Cause: backends are known by id, addresses were never compared between them. Change: a ready entry at an address where its id was not before owns the address. Entries that the same change names keep their place, and a complete list makes the index empty. Not covered: two entries of one complete list at one address.

--- a/ingress/upstream/endpoint.py
+++ b/ingress/upstream/endpoint.py
@@ -7,6 +7,7 @@
 
 from ingress.interface import Backend, Readiness
 from ingress.network.addresses import Address, AddressBook
+from ingress.upstream.address_owners import AddressOwners
 from ingress.upstream.connection import BackendConnection
 
 
@@ -36,6 +37,7 @@
     def __init__(self) -> None:
         self.addresses = AddressBook()  # addresses of all listed backends
         self.draining_ids: set[str] = set()  # ids of the draining backends
+        self.address_owners = AddressOwners()
         self.contacted_endpoints: dict[
             str, UpstreamEndpoint
         ] = {}  # by backend id; only backends that an attempt was sent to
@@ -43,13 +45,17 @@
     def find_or_create(self, backend_id: str) -> UpstreamEndpoint | None:
         """Return the backend's endpoint, which is created if there is none yet.
 
-        Return None if the backend is not listed or is draining.
+        Return None if the backend is not listed or is draining, or if its address belongs to another one now.
         """
         if backend_id in self.draining_ids or backend_id not in self.addresses:
             return None
         endpoint = self.contacted_endpoints.get(backend_id)
         if endpoint is None:
-            endpoint = UpstreamEndpoint(self.addresses[backend_id])
+            address = self.addresses[backend_id]
+            if self.address_owners.belongs_to_other(address, backend_id):
+                return None
+            self.address_owners.add_contacted(address, backend_id)
+            endpoint = UpstreamEndpoint(address)
             self.contacted_endpoints[backend_id] = endpoint
         return endpoint
 
@@ -60,6 +66,7 @@
         ]:
             self._remove_backend(backend_id)
         self.addresses = AddressBook.copy_of(addresses)
+        self.address_owners.forget_owners()
         self.draining_ids.clear()
         ready = Readiness.READY  # a local variable, since the loop over a long list reads it for each entry
         backends_to_apply = [backend for backend in backends if backend.readiness is not ready]
@@ -67,7 +74,7 @@
             backends_to_apply = list(backends)  # an id has several entries; the last one applies
         self.update_entries(backends_to_apply, addresses)
         for backend_id in list(self.contacted_endpoints):
-            self._refresh_endpoint(backend_id)
+            self._refresh_endpoint(backend_id, self.addresses[backend_id])
 
     def update_entries(
         self, backends: list[Backend] | tuple[Backend, ...], addresses: Mapping[str, Address]
@@ -76,6 +83,23 @@
         for backend in backends:
             self._update_entry(backend, addresses[backend.id])
 
+    def replace_address_owners(
+        self, backends: tuple[Backend, ...], addresses: Mapping[str, Address]
+    ) -> list[str]:
+        """Remove the backends at whose addresses changed entries show other backends; return their ids.
+
+        Must be called before the entries are applied.  A backend that a changed entry names itself stays.
+        """
+        superseded: set[str] = set()
+        for backend in backends:
+            address = addresses[backend.id]
+            if backend.readiness is Readiness.READY and self.addresses.get(backend.id) != address:
+                superseded |= self.address_owners.claim(address, backend.id)
+        superseded_ids = sorted(superseded - addresses.keys())
+        for backend_id in superseded_ids:
+            self._remove_backend(backend_id)
+        return superseded_ids
+
     def _update_entry(self, backend: Backend, address: Address) -> None:
         if backend.readiness is Readiness.REMOVED:
             self._remove_backend(backend.id)
@@ -85,15 +109,16 @@
             self.draining_ids.discard(backend.id)
         else:
             self.draining_ids.add(backend.id)
-        self._refresh_endpoint(backend.id)
+        self._refresh_endpoint(backend.id, address)
 
-    def _refresh_endpoint(self, backend_id: str) -> None:
+    def _refresh_endpoint(self, backend_id: str, address: Address) -> None:
         """Bring the endpoint of the backend, if there is one, up to date with the list."""
         endpoint = self.contacted_endpoints.get(backend_id)
         if endpoint is None:
             return
-        address = self.addresses[backend_id]
         if endpoint.address != address:
+            self.address_owners.release(endpoint.address, backend_id)
+            self.address_owners.add_contacted(address, backend_id)
             endpoint.address = address
             endpoint.close_idle_connections()
         # An attempt that waits for a connection is not written to a draining backend either.  Since the list
@@ -105,6 +130,8 @@
 
         Attempts that wait for a connection still refer to the endpoint; they fail because it is draining.
         """
+        if backend_id in self.addresses:
+            self.address_owners.release(self.addresses[backend_id], backend_id)
         self.addresses.discard(backend_id)
         self.draining_ids.discard(backend_id)
         endpoint = self.contacted_endpoints.pop(backend_id, None)
--- a/ingress/upstream/pool.py
+++ b/ingress/upstream/pool.py
@@ -74,12 +74,18 @@
 
     def update_endpoints(
         self, is_complete_list: bool, backends: tuple[Backend, ...], addresses: Mapping[str, Address]
-    ) -> None:
-        """Apply the complete list of backends, or only the entries that changed."""
+    ) -> list[str]:
+        """Apply the complete list of backends, or only the entries that changed.
+
+        Remove the backends whose addresses changed entries show to belong to others, and return their ids:
+        what was sent there would reach another backend.
+        """
         if is_complete_list:
             self.endpoint_table.replace_list(backends, addresses)
-        else:
-            self.endpoint_table.update_entries(backends, addresses)
+            return []
+        superseded_ids = self.endpoint_table.replace_address_owners(backends, addresses)
+        self.endpoint_table.update_entries(backends, addresses)
+        return superseded_ids
 
     def close_idle_connections(self, backend_id: str) -> None:
         """Close the idle connections to the backend."""
