An id that may have run is not run again either if its client left unseen or after the answer

Change: ForwardedRequestIds keeps the ids of all requests for which an attempt was made, 4,096 for 30 s at most, with the presence of their clients, which looks at the socket when asked. A client that is still connected may use an id again.

--- a/ingress/downstream/connection.py
+++ b/ingress/downstream/connection.py
@@ -9,6 +9,7 @@
 
 from ingress.downstream import timeouts
 from ingress.downstream.client_input import ClientInput
+from ingress.downstream.client_presence import ClientPresence
 from ingress.downstream.close_reason import CloseReason
 from ingress.downstream.command_executor import CommandExecutor
 from ingress.downstream.commands import encode_error_reply
@@ -31,6 +32,7 @@
     def __init__(self, owner: ConnectionOwner[ClientConnection], sock: socket.socket) -> None:
         self.owner = owner
         self.sock = sock
+        self.presence = ClientPresence(self.check_client_present)
         self.pending_replies = ReplyQueue(self)
         self.transport: asyncio.Transport | None = None
         self.idle_since = owner.clock()  # when it was established or its last pending reply was written
@@ -95,8 +97,7 @@
 
     def flush(self) -> None:
         """Write the replies that are ready, in the order of their commands."""
-        ready = self.pending_replies.take_ready()
-        if self.transport is None or not ready:
+        if self.transport is None or not (ready := self.pending_replies.take_ready()):
             return
         self.transport.write(ready)
         if not self.pending_replies:
@@ -118,11 +119,11 @@
     def has_empty_buffers(self) -> bool:
         """Return whether closing loses nothing: no input is buffered or unread, and no reply is unsent.
 
-        Closing a socket with unread input resets the connection, which may also destroy the reply before it.
+        A close over unread input resets the connection, which may also destroy the reply before it.
         """
-        return self.transport is None or not (
-            self.input.buffer or has_unread_bytes(self.sock) or self.transport.get_write_buffer_size()
-        )
+        if self.transport is None:
+            return True
+        return not (self.input.buffer or self.has_unread_input() or self.transport.get_write_buffer_size())
 
     def close_if_idle(self) -> None:
         """Close the connection unless a command or reply is pending; `enforce_timeouts` retries later."""
@@ -142,8 +143,8 @@
 
     def abort(self, close_reason: CloseReason | None) -> None:
         """Close the connection at once; None leaves the reason that was set before."""
-        self.close_reason = close_reason or self.close_reason
         if self.transport is not None:
+            self.close_reason = close_reason or self.close_reason
             self.transport.abort()
 
     # Methods that the input limiter calls
@@ -280,20 +281,18 @@
     def _handle_disconnect(self) -> None:
         """Cancel the unanswered requests of a client that has disconnected."""
         self.transport = None
+        self.presence.end()
         self.input_end.cancel()
         self.owner.input_scheduler.discard(self)
         self.input.buffer.clear()
         self.owner.mark_busy(self)
         self.pending_replies.abandon(self.owner.handler.on_client_disconnected)
 
-    # Back-pressure
-
     def _must_pause_reading(self) -> bool:
         limiter = self.owner.input_limiter
         is_backlog_full = self.has_backlog and len(self.input.buffer) > MAX_BACKLOG_BYTES
         is_waiting = self.has_backlog or self._is_back_pressured()
-        is_room_needed = is_waiting and limiter.budget.is_half_used()
-        return is_backlog_full or is_room_needed or not limiter.may_read(self)
+        return is_backlog_full or not limiter.may_read(self) or (is_waiting and limiter.budget.is_half_used())
 
     def _is_back_pressured(self) -> bool:
         """Return whether commands are held back because the pipeline or the write buffer is full."""
--- a/ingress/downstream/request_handler.py
+++ b/ingress/downstream/request_handler.py
@@ -4,12 +4,16 @@
 
 from typing import Protocol
 
+from ingress.downstream.client_presence import ClientPresence
 from ingress.downstream.commands import Command
 
 
 class ReplyWriter(Protocol):
     """The connection on which a reply is sent."""
 
+    presence: ClientPresence
+    """Whether the client of the connection is still there."""
+
     def flush(self) -> None:
         """Write the replies that are ready, in the order of their commands."""
 
--- /dev/null
+++ b/ingress/process/forwarded_ids.py
@@ -0,0 +1,50 @@
+"""The ids of requests that may have run, which must not run again once their client has left."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from dataclasses import dataclass
+
+from ingress.downstream.client_presence import ClientPresence
+
+LIFETIME_S = 30.0  # longer than any client waits and than any deduplication window
+MAX_IDS = 4096  # bounds the memory: an id has up to 128 bytes
+
+
+@dataclass(frozen=True, slots=True)
+class _ForwardedRequest:
+    expires_at: float
+    client: ClientPresence
+
+
+class ForwardedRequestIds:
+    """The latest ids for which an attempt was made; all times are on one clock, in seconds."""
+
+    __slots__ = ("_requests",)
+
+    def __init__(self) -> None:
+        """Create an empty collection."""
+        self._requests: OrderedDict[bytes, _ForwardedRequest] = OrderedDict()  # the earliest expiry first
+
+    def __len__(self) -> int:
+        return len(self._requests)
+
+    def add(self, client_request_id: bytes, client: ClientPresence, now: float) -> None:
+        """Add the id of a client's request; the oldest ones make room for it."""
+        self._drop_expired(now)
+        self._requests[client_request_id] = _ForwardedRequest(now + LIFETIME_S, client)
+        self._requests.move_to_end(client_request_id)
+        if len(self._requests) > MAX_IDS:
+            self._requests.popitem(last=False)
+
+    def is_abandoned(self, client_request_id: bytes, now: float) -> bool:
+        """Return whether the id was added within its lifetime and its client has left.
+
+        A client that is still connected may use the id of an answered request again.
+        """
+        request = self._requests.get(client_request_id)
+        return request is not None and now < request.expires_at and request.client.has_left()
+
+    def _drop_expired(self, now: float) -> None:
+        while self._requests and next(iter(self._requests.values())).expires_at <= now:
+            self._requests.popitem(last=False)
--- a/ingress/process/request_service.py
+++ b/ingress/process/request_service.py
@@ -13,8 +13,8 @@
 from ingress.network.clock import Clock
 from ingress.network.event_counts import EventCounts
 from ingress.network.rate_limited_log import RateLimitedLog
-from ingress.process.abandoned_ids import AbandonedRequestIds
 from ingress.process.deadlines import decision_time
+from ingress.process.forwarded_ids import ForwardedRequestIds
 from ingress.process.in_flight import InFlightRequest, InFlightRequests
 from ingress.process.request_events import RequestEvent
 from ingress.upstream.attempt import Attempt
@@ -49,7 +49,7 @@
         self.feed = feed
         self.cancel_if_unsent = cancel_if_unsent
         self.counts = counts
-        self.abandoned_ids = AbandonedRequestIds()
+        self.forwarded_ids = ForwardedRequestIds()
         self.refusal_log = RateLimitedLog(log, MAX_LOGGED_REFUSALS)
         self.is_refusing_requests = False  # True at the end of the shutdown: no backend could answer in time
 
@@ -58,7 +58,7 @@
 
         The answer is BUSY while new requests are refused and while the requests in flight reach a limit.
         `received_at` is the time on the clock at which the command arrived.  Raise CommandError if the id
-        belongs to a request that has not been answered, or whose client left while it may have run.
+        belongs to a request that has not been answered, or that may have run for a client that has left.
         """
         self._check_id(command.client_request_id)
         if self.is_refusing_requests:
@@ -79,8 +79,6 @@
         request = self.requests.get(reply.request_key)
         if request is not None and not request.is_answered:
             self.counts.add(RequestEvent.CLIENT_LEFT)
-            if request.requested_attempt_count:
-                self.abandoned_ids.add(request.command.client_request_id, self.clock())
             self._mark_answered(request)
             self.feed(api.RequestCancelled(request.key))
 
@@ -130,7 +128,7 @@
         if client_request_id in self.requests.unanswered_client_request_ids:
             self.counts.add(RequestEvent.REJECTED_OPEN_ID)
             raise CommandError("the id belongs to an open request")
-        if self.abandoned_ids.contains(client_request_id, self.clock()):
+        if self.forwarded_ids.is_abandoned(client_request_id, self.clock()):
             self.counts.add(RequestEvent.REJECTED_ABANDONED_ID)
             raise CommandError("the id belongs to a request that may have run")
 
@@ -152,6 +150,9 @@
     def _mark_answered(self, request: InFlightRequest) -> None:
         """Mark a request as answered, free its client's id, and cancel its timer and unsent attempt."""
         request.is_answered = True
+        if request.requested_attempt_count:
+            client_request_id = request.command.client_request_id
+            self.forwarded_ids.add(client_request_id, request.reply.writer.presence, self.clock())
         self.requests.unanswered_client_request_ids.discard(request.command.client_request_id)
         if request.deadline_timer is not None:
             request.deadline_timer.cancel()
--- a/tests/process/test_departed_clients.py
+++ b/tests/process/test_departed_clients.py
@@ -163,3 +163,26 @@
             assert len(backend.received_commands) == 1
 
     run_async_test(body())
+
+
+def test_id_of_an_answered_request_is_not_executed_again_once_its_client_has_left() -> None:
+    """Guards against running a request twice if its client closed without having read the answer."""
+
+    async def body() -> None:
+        async with make_scripted_backend() as backend, running_ingress_before(backend) as (ingress, address):
+            client = await RespClient.connect(address)
+            for _ in range(2):  # a client that is still there may use the id again
+                assert await client.send_and_read_reply(make_command("again")) == b"again"
+            other = await RespClient.connect(address)
+            [transport] = [
+                connection.transport
+                for connection in ingress.listener.connections
+                if connection.sock.getpeername() == client.writer.get_extra_info("sockname")
+            ]
+            assert transport is not None
+            transport.pause_reading()  # as for a backlog, so that the close is not seen at once
+            client.writer.write_eof()
+            assert "may have run" in str(await other.send_and_read_reply(make_command("again")))
+            assert len(backend.received_commands) == 2
+
+    run_async_test(body())
--- a/tests/process/test_floods.py
+++ b/tests/process/test_floods.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from tests.support.flood import flooding
+from scale.soak.flood import flooding
 from tests.support.peers import (
     Address,
     RespClient,
--- a/tests/process/test_health_log.py
+++ b/tests/process/test_health_log.py
@@ -75,7 +75,7 @@
             assert ingress.counts.get(AttemptEvent.OK) == 1
             ingress.request_service.is_refusing_requests = True
             client = await RespClient.connect(address)
-            await client.send_and_read_reply(make_command())
+            await client.send_and_read_reply(make_command("second"))
             assert ingress.counts.get(RequestEvent.REFUSED_SHUTTING_DOWN) == 1
             client.writer.write(b"*1\r\n$x\r\n")
             await client.read_reply()
--- a/tests/process/test_memory.py
+++ b/tests/process/test_memory.py
@@ -12,7 +12,7 @@
 import psutil
 import pytest
 
-from tests.support.crowd import CrowdClient, run_crowd
+from scale.soak.crowd import CrowdClient, run_crowd
 from tests.support.peers import (
     Address,
     RespClient,
