--- a/scale/soak/crowd.py
+++ b/scale/soak/crowd.py
@@ -7,7 +7,7 @@
 import threading
 from dataclasses import dataclass, field
 
-from tests.support.peers import Address
+from scale.addresses import Address
 
 PAUSE_S = 0.005  # between two rounds through all clients
 RECEIVE_BYTES = 1 << 16
--- a/scale/soak/flood.py
+++ b/scale/soak/flood.py
@@ -8,7 +8,7 @@
 import threading
 from collections.abc import Callable, Iterator
 
-from tests.support.peers import Address
+from scale.addresses import Address
 
 RECEIVE_BYTES = 1 << 20
 WAIT_S = 0.2  # between checks whether the flood is to end, while the connection takes no bytes
