New input is processed at once while no connection waits for a slice

Change: input that was read whole is processed in the callback that read it, within the time that slices may take in one turn of the loop, if no connection waits; behind a full read buffer there is more, perhaps a close, so it is scheduled. The flags of a peek are computed once; pending replies are a deque; expired ids are dropped when there are any. Tests: a departed client's test now waits until the close has arrived; it passed by luck before, as processing came later.

--- a/ingress/downstream/connection.py
+++ b/ingress/downstream/connection.py
@@ -15,6 +15,7 @@
 from ingress.downstream.commands import encode_error_reply
 from ingress.downstream.connection_owner import ConnectionOwner
 from ingress.downstream.input_end import InputEnd
+from ingress.downstream.read_buffer import READ_BYTES
 from ingress.downstream.read_pause import ReadPause
 from ingress.downstream.reply_queue import ReplyQueue
 from ingress.downstream.request_handler import PendingReply
@@ -50,7 +51,7 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Start to use the established connection."""
-        self.transport = cast(asyncio.Transport, transport)  # uvloop has its own transport class
+        self.transport = cast(asyncio.Transport, transport)  # uvloop has its own class
         self.idle_since = self.owner.clock()
         self.owner.mark_new(self)
 
@@ -69,8 +70,10 @@
             return
         self.input.append(data, self.owner.clock())
         if not self._is_back_pressured():
-            self._schedule_processing()
-        if self._must_pause_reading():
+            self.has_backlog = True
+            # Behind a full buffer there is more to read, perhaps the close of the connection.
+            self.owner.input_scheduler.process_new_input(self, is_complete=len(data) < READ_BYTES)
+        if self.has_backlog or self._is_back_pressured():
             self.update_reading()
         self.owner.input_limiter.on_input(self)
 
@@ -196,7 +199,9 @@
             self.input_end.search(end_time)
             if self.input_end.is_searching:
                 return True
-            self._close_if_all_is_served()
+            self._close_after_last_command()
+            if self.is_closing and not self.pending_replies and self.transport is not None:
+                self._on_all_replies_written(self.transport)
         self.has_backlog = False
         self._execute_commands(end_time)
         self.update_reading()
@@ -214,9 +219,8 @@
                 has_partial_command = True
                 break
             self._handle_command(arguments)
-            self.has_backlog = self.input_end.is_searching or (
-                time.monotonic() >= end_time and self._can_take_command()
-            )
+            is_slice_over = time.monotonic() >= end_time and self._can_take_command()
+            self.has_backlog = is_slice_over or self.input_end.is_searching
         if self.is_closing or self.transport is None:
             self.input.buffer.clear()
         else:
@@ -252,11 +256,6 @@
 
     # Closing
 
-    def _close_if_all_is_served(self) -> None:
-        self._close_after_last_command()
-        if self.is_closing and not self.pending_replies and self.transport is not None:
-            self._on_all_replies_written(self.transport)
-
     def _close_after_last_command(self) -> None:
         if self.input_end.is_searched and not self.input.buffer.has_untaken_bytes():
             self.close_reason, self.is_closing = CloseReason.MALFORMED_INPUT, True
--- a/ingress/downstream/input_scheduler.py
+++ b/ingress/downstream/input_scheduler.py
@@ -30,7 +30,7 @@
     send one command after another could delay them for ever.
     """
 
-    __slots__ = ("_backlogged", "_loop", "_new", "_turn")
+    __slots__ = ("_backlogged", "_immediate_end_time", "_immediate_turn", "_loop", "_new", "_turn")
 
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
         """Create a scheduler without connections."""
@@ -39,11 +39,35 @@
         self._new: OrderedDict[ScheduledConnection, None] = OrderedDict()
         self._backlogged: OrderedDict[ScheduledConnection, None] = OrderedDict()  # have used up a slice
         self._turn: asyncio.Handle | None = None
+        self._immediate_turn = 0.0  # by the loop's clock, when input was last processed at once
+        self._immediate_end_time = 0.0  # until when input may be processed at once in that turn
 
     def is_scheduled(self, connection: ScheduledConnection) -> bool:
         """Return whether the connection waits for a slice."""
         return connection in self._new or connection in self._backlogged
 
+    def process_new_input(self, connection: ScheduledConnection, is_complete: bool) -> None:
+        """Process input that the event loop has just read: at once if no connection waits for a slice.
+
+        `is_complete` says that nothing more was there to be read.  What is processed at once in a turn of the
+        loop takes no longer than its slices would.
+        """
+        now = time.monotonic()
+        is_waiting = self._new or self._backlogged
+        if is_waiting or not is_complete or not self._may_process_at_once(now):
+            self.schedule(connection)
+        elif connection.process_input(now + SLICE_TIME_S):
+            self._new.pop(connection, None)
+            self._backlogged[connection] = None
+            self._schedule_turn()
+
+    def _may_process_at_once(self, now: float) -> bool:
+        turn = self._loop.time()  # stands still during a turn
+        if turn != self._immediate_turn:
+            self._immediate_turn = turn
+            self._immediate_end_time = now + TURN_TIME_S
+        return now < self._immediate_end_time
+
     def schedule(self, connection: ScheduledConnection) -> None:
         """Process the connection's input soon, unless it waits for a slice already."""
         if not self.is_scheduled(connection):
--- a/ingress/downstream/reply_queue.py
+++ b/ingress/downstream/reply_queue.py
@@ -8,36 +8,33 @@
 from ingress.downstream.request_handler import PendingReply, ReplyWriter
 
 
-class ReplyQueue:
+class ReplyQueue(deque[PendingReply]):
     """Pending replies in the order of their commands, in which they are written."""
 
-    __slots__ = ("_pending", "_writer")
+    __slots__ = ("_writer",)
 
     def __init__(self, writer: ReplyWriter) -> None:
         """Create an empty queue of the connection `writer`."""
+        super().__init__()
         self._writer = writer
-        self._pending: deque[PendingReply] = deque()
-
-    def __len__(self) -> int:
-        return len(self._pending)
 
     def add(self) -> PendingReply:
         """Add the pending reply of the next command."""
         reply = PendingReply(self._writer)
-        self._pending.append(reply)
+        self.append(reply)
         return reply
 
     def take_ready(self) -> bytes:
         """Remove the replies that are known and have none before them that is not; return their bytes."""
         ready = []
-        while self._pending and self._pending[0].data is not None:
-            ready.append(self._pending.popleft().data or b"")
+        while self and self[0].data is not None:
+            ready.append(self.popleft().data or b"")
         return ready[0] if len(ready) == 1 else b"".join(ready)
 
     def abandon(self, on_abandoned: Callable[[PendingReply], None]) -> None:
         """Remove all replies; pass each unknown one to `on_abandoned`, and ignore its later answer."""
-        pending = self._pending
-        self._pending = deque()
+        pending = list(self)
+        self.clear()
         for reply in pending:
             if reply.data is None:
                 reply.data = b""  # makes `PendingReply.answer` ignore a later answer
--- a/ingress/network/sockets.py
+++ b/ingress/network/sockets.py
@@ -5,13 +5,14 @@
 import select
 import socket
 
+PEEK_FLAGS = int(socket.MSG_PEEK | socket.MSG_DONTWAIT)
 CLOSED_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 
 
 def has_unread_bytes(sock: socket.socket) -> bool:
     """Return whether there are unread bytes; the end or a failure of the connection does not count."""
     try:
-        return bool(sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT))
+        return bool(sock.recv(1, PEEK_FLAGS))
     except OSError:
         return False
 
@@ -19,7 +20,7 @@
 def is_open_without_unread_bytes(sock: socket.socket) -> bool:
     """Return whether the connection is open and there are no unread bytes."""
     try:
-        sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+        sock.recv(1, PEEK_FLAGS)
     except BlockingIOError:
         return True
     except OSError:
@@ -40,7 +41,7 @@
     Most often nothing is unread, and one system call tells.
     """
     try:
-        unread = sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+        unread = sock.recv(1, PEEK_FLAGS)
     except BlockingIOError:
         return False
     except OSError:
--- a/ingress/process/forwarded_ids.py
+++ b/ingress/process/forwarded_ids.py
@@ -4,6 +4,7 @@
 
 from collections import OrderedDict
 from dataclasses import dataclass
+from math import inf
 
 from ingress.downstream.client_presence import ClientPresence
 
@@ -11,7 +12,7 @@
 MAX_IDS = 4096  # bounds the memory: an id has up to 128 bytes
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class _ForwardedRequest:
     expires_at: float
     client: ClientPresence
@@ -20,18 +21,21 @@
 class ForwardedRequestIds:
     """The latest ids for which an attempt was made; all times are on one clock, in seconds."""
 
-    __slots__ = ("_requests",)
+    __slots__ = ("_earliest_expiry", "_requests")
 
     def __init__(self) -> None:
         """Create an empty collection."""
         self._requests: OrderedDict[bytes, _ForwardedRequest] = OrderedDict()  # the earliest expiry first
+        self._earliest_expiry = inf
 
     def __len__(self) -> int:
         return len(self._requests)
 
     def add(self, client_request_id: bytes, client: ClientPresence, now: float) -> None:
         """Add the id of a client's request; the oldest ones make room for it."""
-        self._drop_expired(now)
+        if now >= self._earliest_expiry:
+            self._drop_expired(now)
+        self._earliest_expiry = min(self._earliest_expiry, now + LIFETIME_S)
         self._requests[client_request_id] = _ForwardedRequest(now + LIFETIME_S, client)
         self._requests.move_to_end(client_request_id)
         if len(self._requests) > MAX_IDS:
@@ -46,5 +50,10 @@
         return request is not None and now < request.expires_at and request.client.has_left()
 
     def _drop_expired(self, now: float) -> None:
-        while self._requests and next(iter(self._requests.values())).expires_at <= now:
+        self._earliest_expiry = inf
+        while self._requests:
+            earliest = next(iter(self._requests.values())).expires_at
+            if earliest > now:
+                self._earliest_expiry = earliest
+                return
             self._requests.popitem(last=False)
--- a/tests/process/test_departed_clients.py
+++ b/tests/process/test_departed_clients.py
@@ -174,14 +174,15 @@
             for _ in range(2):  # a client that is still there may use the id again
                 assert await client.send_and_read_reply(make_command("again")) == b"again"
             other = await RespClient.connect(address)
-            [transport] = [
-                connection.transport
-                for connection in ingress.listener.connections
-                if connection.sock.getpeername() == client.writer.get_extra_info("sockname")
+            [abandoned] = [
+                client_connection
+                for client_connection in ingress.listener.connections
+                if client_connection.sock.getpeername() == client.writer.get_extra_info("sockname")
             ]
-            assert transport is not None
-            transport.pause_reading()  # as for a backlog, so that the close is not seen at once
+            assert abandoned.transport is not None
+            abandoned.transport.pause_reading()  # as for a backlog, so that the close is not seen at once
             client.writer.write_eof()
+            await wait_until(lambda: has_peer_left(abandoned.sock))
             assert "may have run" in str(await other.send_and_read_reply(make_command("again")))
             assert len(backend.received_commands) == 2
 
