Scale stand-ins and soak clients share one RESP2 encoder

The soak's commands wrote the encoder of arrays again that the stand-ins' clients had, and both backends one of bulk strings. scale/standins/resp.py has both; the bytes are the same.

--- a/scale/soak/backend.py
+++ b/scale/soak/backend.py
@@ -11,6 +11,7 @@
 
 from scale.addresses import Address
 from scale.soak.books import Books, Execution
+from scale.standins.resp import encode_bulk_string
 
 LONGEST_SERVICE_S = 0.02
 FAULTS = ("busy", "silent", "reset")
@@ -73,7 +74,7 @@
         if fault == "reset":
             loop.call_later(delay_s, self._abort)
         elif not fault:
-            reply = b"*3\r\n$%d\r\n%b\r\n$-1\r\n$-1\r\n" % (len(request_id), request_id)
+            reply = b"*3\r\n%b$-1\r\n$-1\r\n" % encode_bulk_string(request_id)
             loop.call_later(delay_s, self._write, reply)
 
     def _write(self, data: bytes) -> None:
--- a/scale/soak/commands.py
+++ b/scale/soak/commands.py
@@ -4,17 +4,13 @@
 
 from scale.soak.books import Semantics
 from scale.soak.plan import CrowdKind, FloodKind
+from scale.standins.resp import encode_array
 
 CLASS_BY_SEMANTICS = {Semantics.SAFE: "read", Semantics.UNSAFE: "pay"}
 LARGE_BODY_BYTES = 60_000
 FLOOD_WAIT_MS = 1000
 
 
-def encode_array(*items: bytes) -> bytes:
-    """Return a RESP2 array of bulk strings."""
-    return b"*%d\r\n" % len(items) + b"".join(b"$%d\r\n%b\r\n" % (len(item), item) for item in items)
-
-
 def encode_request(
     request_id: bytes,
     semantics: Semantics,
--- a/scale/standins/backends.py
+++ b/scale/standins/backends.py
@@ -17,6 +17,7 @@
 from scale.addresses import Address
 from scale.scenario import BackendModel
 from scale.standins.backend_queue import BackendQueue
+from scale.standins.resp import encode_bulk_string
 
 MAX_COMMAND_BYTES = 256 * 1024  # received bytes of an incomplete command beyond which it is rejected
 
@@ -83,10 +84,6 @@
     return request_id, int(microseconds) / 1e6
 
 
-def _encode_bulk_string(text: bytes) -> bytes:
-    return b"$%d\r\n%b\r\n" % (len(text), text)
-
-
 class BackendConnection(asyncio.Protocol):
     """One connection of an ingress; replies keep the order of the commands."""
 
@@ -196,10 +193,10 @@
             return
         backend.counts.served += 1
         service_time_us = max(0, round((time.monotonic() - arrived_at) * 1e6))
-        value = _encode_bulk_string(b"%b:%d" % (request_id, service_time_us))
+        value = encode_bulk_string(b"%b:%d" % (request_id, service_time_us))
         self._complete_reply(
             reply,
-            b"*3\r\n%b$-1\r\n%b" % (value, _encode_bulk_string(b"active=%d" % backend.requests_in_flight)),
+            b"*3\r\n%b$-1\r\n%b" % (value, encode_bulk_string(b"active=%d" % backend.requests_in_flight)),
         )
 
     def _complete_reply(self, reply: list[bytes], data: bytes) -> None:
--- a/scale/standins/client_requests.py
+++ b/scale/standins/client_requests.py
@@ -9,6 +9,7 @@
 
 from scale.standins.backends import parse_reply_value
 from scale.standins.histograms import TimeHistogram
+from scale.standins.resp import encode_array
 from scale.standins.traffic import DrawnRequest
 
 
@@ -109,5 +110,4 @@
     arguments = [verb, drawn_request.tenant_key.encode(), request_id, fields_text.encode()]
     if verb == b"API.WRITE":
         arguments.append(b"body")
-    head = b"*%d\r\n" % len(arguments)
-    return head + b"".join(b"$%d\r\n%b\r\n" % (len(argument), argument) for argument in arguments)
+    return encode_array(*arguments)
