--- a/review/10/case.py
+++ b/review/10/case.py
@@ -25,8 +25,8 @@
 CONFIRM_SHARE = 0.19
 WORK_S = {"slot-search": 0.2, "book-confirm": 0.1}
 WARM_UP_S = 6.0
-WAVES = ((1, 5, 9, 2, 6, 10), (3, 7, 11, 0, 4, 8))  # half of the backends, then the other half
-PAUSE_S = 1.1  # between two replacements
+WAVES = ((1, 5, 9, 2, 6, 10, 3), (7, 11, 0, 4, 8, 1, 5), (9, 2, 6, 10, 3, 7, 11))  # places of backends
+PAUSE_S = 1.0  # between two replacements
 WAVE_S = 13.0  # from the last replacement of a wave to its end
 RESTART_S = 0.05  # from the end of the old backend to the start of the new one at its address
 ADD_S = 0.45  # from the start of a backend until discovery lists it (`add_s` of the site file)
@@ -44,6 +44,7 @@
             self.make_backend(f"s-{number:02}", number // CELL_SIZE, ZONES[number % len(ZONES)])
             for number in range(BACKEND_COUNT)
         ]
+        self.backend_by_place = dict(enumerate(self.backends))  # the present one at each address
         self.rng = random.Random(2)
         self.told_at: dict[str, float] = {}  # when the list with a new backend was written to the ingresses
 
@@ -57,8 +58,9 @@
         """Draw the work of the request that has just arrived (`dist = "exp"` in the site file)."""
         backend.work_s = self.rng.expovariate(1 / WORK_S[fields["c"]])
 
-    async def replace(self, old: standins.Backend) -> None:
+    async def replace(self, place: int) -> None:
         """Let a backend vanish and a new one start at its address; discovery notices the end late."""
+        old = self.backend_by_place[place]
         old.is_hung = True
         old.stop_listening()
         self.record.write(f"backend {old.name} vanishes: no further sign on open connections")
@@ -67,6 +69,7 @@
         new.cold_s, new.cold_from = COLD_S, START_CAPACITY
         new.started_ms = int(time.time() * 1000)
         self.backends.append(new)
+        self.backend_by_place[place] = new
         await new.start(old.port)
         old.is_replaced = True
         self.record.write(f"backend {new.name} of cell {new.cell} starts at the address of {old.name}")
@@ -167,7 +170,7 @@
         for wave in WAVES:
             for number in wave:
                 if standins.has_trouble():
-                    replacements.append(asyncio.create_task(fleet.replace(fleet.backends[number])))
+                    replacements.append(asyncio.create_task(fleet.replace(number)))
                 await asyncio.sleep(PAUSE_S)
             await asyncio.sleep(WAVE_S)
         await asyncio.gather(*await traffic, *replacements)
